--- /dev/null
+++ b/include/galenarock/placement.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include <galenarock/assignment.h>
+#include <galenarock/document.h>
+
+/// Placement: which backend server should own which slice.
+namespace Galenarock
+{
+
+/// A server as placement sees it; the position in PlacementInput::servers is its ServerIndex.
+struct PlacementServer
+{
+    Identity identity;
+    std::string failureDomain;
+    /// Relative capacity, 1 for an ordinary server, less while it warms up.
+    double capacity = 1;
+    /// False for a leaving or lost server: it receives nothing, and its slices must go.
+    bool usable = true;
+};
+
+/// Observed load of one slice of the present assignment, same order as Assignment::slices.
+struct SliceLoad
+{
+    double requestsPerSecond = 0;
+    /// Distinct keys seen, estimated.
+    double keys = 0;
+};
+
+struct HotKey
+{
+    KeyHash hash = 0;
+    double requestsPerSecond = 0;
+};
+
+struct PlacementInput
+{
+    /// Slices with their present owners; owner indices refer to `servers`. Empty slices mean a first placement.
+    Assignment current;
+    std::vector<PlacementServer> servers;
+    std::vector<SliceLoad> loads;
+    /// Hottest keys first.
+    std::vector<HotKey> hotKeys;
+    OwnershipSettings ownership;
+    MeasureWeights weights;
+    /// Share of all keys, 0 to 1, that may still change owner for balance in this round. Slices of unusable servers
+    /// move regardless.
+    double churnBudget = 0;
+};
+
+/// The wanted owner of one slice.
+struct SliceTarget
+{
+    SliceRange range;
+    ServerIndex owner = noServer;
+    std::vector<ServerIndex> successors;
+
+    friend bool operator==(const SliceTarget &a, const SliceTarget &b)
+    {
+        return a.range == b.range && a.owner == b.owner && a.successors == b.successors;
+    }
+};
+
+/// Returns the complete wanted partition of the hash space, sorted. A split or merge without a change of owner moves
+/// no key. Deterministic: equal input gives equal output.
+using PlacementPolicy = std::function<std::vector<SliceTarget>(const PlacementInput &)>;
+
+}
