--- a/src/standin/httpserver_p.h
+++ b/src/standin/httpserver_p.h
@@ -64,6 +64,11 @@
         return m_connection != nullptr;
     }
 
+    bool isSuspended() const
+    {
+        return m_suspended;
+    }
+
     /// Stops reading the request until resume(), respond() or abort(). Only inside HttpHandler::begin or complete.
     void suspend();
     void resume();
