--- a/include/galenarock/document.h
+++ b/include/galenarock/document.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -174,7 +175,39 @@
 ParsedDocument parseDocumentText(std::string_view text);
 nlohmann::json toJson(const ServiceDocument &document);
 
-/// Differences as text lines `/retry/maxAttempts: 3 -> 5`, sorted by pointer.
+/// Type of a document field's value.
+enum class FieldType : std::uint8_t
+{
+    Text,
+    Boolean,
+    Integer,
+    Number,
+    /// One of a fixed set of words.
+    Choice,
+    TextList,
+};
+
+/// One row of the field table that drives the parser, toJson() and the reference in docs/operations.md.
+struct FieldInfo
+{
+    /// JSON pointer, `/retry/maxAttempts`.
+    std::string_view pointer;
+    FieldType type = FieldType::Text;
+    /// Inclusive bounds of numbers; lengths of texts and lists.
+    double minimum = 0;
+    double maximum = 0;
+    /// `ms`, `%`, `bytes`; empty for none.
+    std::string_view unit;
+    bool isRequired = false;
+    /// Choice: the accepted words, separated by '|'.
+    std::string_view choices;
+};
+
+/// All fields in the order of the documentation.
+std::vector<FieldInfo> documentFields();
+
+/// Differences as text lines `/retry/maxAttempts: 3 -> 5`, sorted by pointer. A field that one side lacks is shown as
+/// `absent`; arrays are compared as a whole.
 std::vector<std::string> documentDifference(const nlohmann::json &before, const nlohmann::json &after);
 
 }
