Add peer frame codec and transport

Cause: daemons exchange membership, configuration and ownership messages and the daemon needs the transport first.

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -8,6 +8,7 @@
 #include <galenarock/error.h>
 #include <galenarock/eventlog.h>
 #include <galenarock/metrics.h>
+#include <galenarock/peer.h>
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
 #include <galenarock/requests.h>
--- /dev/null
+++ b/src/peer/socket_p.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <galenarock/error.h>
+
+namespace Galenarock
+{
+
+/// Owns a file descriptor.
+class Descriptor
+{
+public:
+    Descriptor() = default;
+    explicit Descriptor(int fd)
+        : m_fd(fd)
+    {
+    }
+    Descriptor(Descriptor &&other) noexcept
+        : m_fd(std::exchange(other.m_fd, -1))
+    {
+    }
+    Descriptor &operator=(Descriptor &&other) noexcept
+    {
+        if (this != &other) {
+            reset();
+            m_fd = std::exchange(other.m_fd, -1);
+        }
+        return *this;
+    }
+    Descriptor(const Descriptor &) = delete;
+    Descriptor &operator=(const Descriptor &) = delete;
+    ~Descriptor()
+    {
+        reset();
+    }
+    int get() const
+    {
+        return m_fd;
+    }
+    void reset()
+    {
+        if (m_fd >= 0) {
+            ::close(m_fd);
+        }
+        m_fd = -1;
+    }
+
+private:
+    int m_fd = -1;
+};
+
+/// Reads `a.b.c.d:port`; empty on anything else.
+std::optional<sockaddr_in> parseSocketAddress(std::string_view text);
+std::string toString(const sockaddr_in &address);
+
+/// A datagram socket and a listener on one port.
+struct SocketPair
+{
+    Descriptor datagram;
+    Descriptor listener;
+    sockaddr_in address{};
+};
+
+/// Non-blocking; port 0 takes a port that is free for both.
+Result<SocketPair> bindSocketPair(const std::string &address);
+
+/// Starts a non-blocking connect; a negative descriptor on failure.
+Descriptor startConnect(const sockaddr_in &address);
+
+}
