--- /dev/null
+++ b/src/daemon/adminserver_p.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <galenarock/error.h>
+
+struct MHD_Daemon;
+
+namespace Galenarock
+{
+
+struct AdminResponse
+{
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+struct AdminRequest
+{
+    std::string path;
+    /// Value of a query argument, empty when absent.
+    std::function<std::string(const char *name)> argument;
+};
+
+/// HTTP listener for operators on a thread of its own: GET only, small responses.
+class AdminServer
+{
+public:
+    using Handler = std::function<AdminResponse(const AdminRequest &)>;
+
+    explicit AdminServer(Handler handler);
+    ~AdminServer();
+    AdminServer(const AdminServer &) = delete;
+    AdminServer &operator=(const AdminServer &) = delete;
+
+    Result<void> listen(const std::string &ip, std::uint16_t port);
+    std::uint16_t port() const;
+    const Handler &handler() const
+    {
+        return m_handler;
+    }
+
+private:
+    Handler m_handler;
+    MHD_Daemon *m_daemon = nullptr;
+};
+
+}
