--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -7,8 +7,10 @@
 #include <galenarock/document.h>
 #include <galenarock/error.h>
 #include <galenarock/eventlog.h>
+#include <galenarock/grantholder.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
+#include <galenarock/ownership.h>
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
 #include <galenarock/requests.h>
