--- /dev/null
+++ b/include/galenarock/ledger.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <galenarock/assignment.h>
+#include <galenarock/base.h>
+#include <galenarock/platform.h>
+#include <galenarock/requests.h>
+
+/// The request ledger: non-repeatable requests run at most once (design page, section 5.2).
+namespace Galenarock
+{
+
+/// A UUIDv7 (RFC 9562). Order is order of creation time.
+struct RequestId
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    /// Creation time in the id, milliseconds since the Unix epoch.
+    WallMilliseconds time() const
+    {
+        return static_cast<WallMilliseconds>(high >> 16);
+    }
+    friend bool operator==(const RequestId &a, const RequestId &b)
+    {
+        return a.high == b.high && a.low == b.low;
+    }
+    friend bool operator!=(const RequestId &a, const RequestId &b)
+    {
+        return !(a == b);
+    }
+    friend bool operator<(const RequestId &a, const RequestId &b)
+    {
+        return std::tie(a.high, a.low) < std::tie(b.high, b.low);
+    }
+};
+
+/// Reads `xxxxxxxx-xxxx-7xxx-[89ab]xxx-xxxxxxxxxxxx` in either case; empty on anything else.
+std::optional<RequestId> parseRequestId(std::string_view text);
+std::string toString(const RequestId &id);
+/// Position in the hash space, by which ids are divided among keepers.
+KeyHash hashOf(const RequestId &id);
+
+/// `service` of the assignment whose servers are entry VMs and whose slices are ranges of id hashes. Not a valid name
+/// for a service document, so that it cannot collide with one.
+inline constexpr std::string_view ledgerService = "_request-ledger";
+
+/// Response of a backend server as recorded and repeated.
+struct RecordedResponse
+{
+    unsigned status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    std::size_t byteCount() const;
+    friend bool operator==(const RecordedResponse &a, const RecordedResponse &b)
+    {
+        return a.status == b.status && a.headers == b.headers && a.body == b.body;
+    }
+};
+
+struct LedgerSettings
+{
+    /// Ids older than this are refused, so records need not be kept longer.
+    std::int64_t retentionMs = 600'000;
+    /// A new keeper refuses ids created earlier than its takeover plus this.
+    std::int64_t takeoverAllowanceMs = 2'000;
+    /// A keeper refuses ids this far ahead of its clock. The difference to the takeover allowance is how far the clocks
+    /// of two entry VMs may differ without old and new keeper accepting the same id.
+    std::int64_t aheadAllowanceMs = 1'500;
+    /// About 16 MiB of records; at the bound new ids are refused, because dropping a record could run a request twice.
+    std::size_t maxEntries = 100'000;
+    /// Larger responses are recorded as run, without content.
+    std::size_t maxResponseBytes = 4'096;
+    /// All recorded responses together; the oldest lose their content first.
+    std::size_t maxTotalBytes = 8u << 20;
+};
+
+enum class LedgerVerdict : std::uint8_t
+{
+    /// Recorded; the request may be sent now, and finish() must follow.
+    Accept,
+    /// Ran before; `response` is to be repeated, or `refusal` says why it cannot be.
+    Duplicate,
+    InFlight,
+    TooOld,
+    Ahead,
+    /// This daemon does not hold the id's range now.
+    NotKeeper,
+    Full,
+};
+
+struct LedgerDecision
+{
+    LedgerVerdict verdict = LedgerVerdict::NotKeeper;
+    /// Set for Duplicate when the response was kept.
+    std::shared_ptr<const RecordedResponse> response;
+    /// Set for every verdict but Accept and a Duplicate with response.
+    std::optional<Refusal> refusal;
+};
+
+/// A range of id hashes under its token.
+struct LedgerRange
+{
+    SliceRange range;
+    Token token;
+
+    friend bool operator==(const LedgerRange &a, const LedgerRange &b)
+    {
+        return a.range == b.range && a.token == b.token;
+    }
+};
+
+/// Outcomes of the non-repeatable requests whose ids this daemon keeps.
+class RequestLedger
+{
+public:
+    explicit RequestLedger(LedgerSettings settings = {});
+
+    /// The ranges granted to this daemon from now on. A range counts as held without interruption when all of it was
+    /// held before under the same sequences; otherwise its takeover time is `wallNow`.
+    void setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges);
+    /// The grant ends at this time unless renewed; begin() refuses afterwards. Measured on this daemon's own clock.
+    void renewUntil(Instant termEnd);
+
+    /// Decides about a request and, for Accept, records its id before any byte is sent.
+    LedgerDecision begin(Instant now, WallMilliseconds wallNow, const RequestId &id);
+    /// The server's complete response.
+    void answered(const RequestId &id, RecordedResponse response);
+    /// Not run: the id is forgotten, and a repeat is accepted. Unknown: repeats get the same refusal.
+    void refused(const RequestId &id, const Refusal &refusal);
+
+    std::size_t size() const
+    {
+        return m_entries.size();
+    }
+    std::size_t responseBytes() const
+    {
+        return m_responseBytes;
+    }
+
+private:
+    enum class State : std::uint8_t
+    {
+        InFlight,
+        Answered,
+        Unknown,
+    };
+    struct Entry
+    {
+        State state = State::InFlight;
+        unsigned status = 0;
+        std::shared_ptr<const RecordedResponse> response;
+        Reason reason = Reason::None;
+    };
+    struct HeldRange
+    {
+        LedgerRange range;
+        WallMilliseconds takeover = 0;
+    };
+    std::optional<WallMilliseconds> inheritedTakeover(const LedgerRange &range) const;
+    const HeldRange *heldRange(KeyHash hash) const;
+    void expire(WallMilliseconds wallNow);
+    void boundResponses();
+    static LedgerDecision repeated(const Entry &entry);
+
+    LedgerSettings m_settings;
+    std::vector<HeldRange> m_ranges;
+    Instant m_termEnd{};
+    /// Ids created earlier are refused. Never falls, also when the wall clock is set back.
+    WallMilliseconds m_floor = 0;
+    /// Sorted by creation time, since UUIDv7 are.
+    std::map<RequestId, Entry> m_entries;
+    /// Ids whose response is kept, in the order of their answers.
+    std::deque<RequestId> m_withResponse;
+    std::size_t m_responseBytes = 0;
+};
+
+/// Which daemon keeps which range of id hashes; equal on all daemons that have the same assignment.
+class KeeperMap
+{
+public:
+    struct Keeper
+    {
+        Identity identity;
+        /// `ip:port` for requests; empty when the VM list does not name the VM.
+        std::string address;
+        Token token;
+
+        friend bool operator==(const Keeper &a, const Keeper &b)
+        {
+            return a.identity == b.identity && a.address == b.address && a.token == b.token;
+        }
+    };
+
+    KeeperMap() = default;
+    KeeperMap(Assignment assignment, const VmList &vms);
+    /// Empty when nobody may keep the id now (refused with KeeperUnavailable).
+    std::optional<Keeper> keeper(const RequestId &id) const;
+    /// Ranges that `identity` keeps, for RequestLedger::setRanges.
+    std::vector<LedgerRange> rangesOf(const Identity &identity) const;
+
+private:
+    Assignment m_assignment;
+    /// Same order as Assignment::servers.
+    std::vector<std::string> m_addresses;
+};
+
+}
--- a/include/galenarock/requests.h
+++ b/include/galenarock/requests.h
@@ -33,6 +33,7 @@
     RequestIdAhead,
     RequestIdTooOld,
     RequestIdInFlight,
+    RequestIdAnswered,
     BodyTooLarge,
     NoConfiguration,
     NoAssignment,
--- /dev/null
+++ b/include/galenarock/suspects.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <galenarock/base.h>
+#include <galenarock/control.h>
+#include <galenarock/error.h>
+#include <galenarock/requests.h>
+
+/// Requests that crash the backend servers that run them.
+namespace Galenarock
+{
+
+/// Hash that identifies a request when its caller sends it again.
+using Fingerprint = std::uint64_t;
+
+/// Bytes of the body that enter the fingerprint.
+inline constexpr std::size_t fingerprintBodyBytes = 4'096;
+
+/// A repeated request has the same service, method, path and body prefix. A request id is left out when it is empty;
+/// otherwise it replaces the body, so that uploads need not be buffered.
+Fingerprint requestFingerprint(std::string_view service, std::string_view method, std::string_view path,
+                               std::string_view bodyPrefix, std::string_view requestId);
+
+/// Peer message types 70-89 belong to this module.
+namespace RequestMessage
+{
+inline constexpr std::uint16_t SuspectReport = PeerMessageRange::Requests;
+}
+
+/// One daemon's knowledge about a fingerprint, sent to all peers when it changes. Fixed size, so a malformed message
+/// cannot request memory.
+struct SuspectReport
+{
+    static constexpr std::size_t maxServers = 4;
+
+    Fingerprint fingerprint = 0;
+    /// Hash of the caller's address.
+    std::uint64_t caller = 0;
+    /// Hashes of the names of the servers that crashed; 0 for unused places.
+    std::array<std::uint64_t, maxServers> servers{};
+    /// The request succeeded later, so it is not the cause.
+    bool cleared = false;
+
+    friend bool operator==(const SuspectReport &a, const SuspectReport &b)
+    {
+        return a.fingerprint == b.fingerprint && a.caller == b.caller && a.servers == b.servers
+            && a.cleared == b.cleared;
+    }
+};
+
+/// cereal portable binary.
+std::string encode(const SuspectReport &report);
+Result<SuspectReport> decodeSuspectReport(const std::string &payload);
+
+struct SuspectSettings
+{
+    /// Distinct crashed servers after which a fingerprint is refused.
+    std::uint32_t serversToRefuse = 2;
+    /// Time within which a new boot number confirms a crash; a server restarts within seconds.
+    Duration confirmWithin = seconds(60);
+    /// Suspicion ends after this time, counted from the last crash.
+    Duration lifetime = seconds(600);
+    std::size_t maxEntries = 4'096;
+    /// Fingerprints of one caller in the table; further ones are not recorded.
+    std::size_t maxPerCaller = 16;
+};
+
+/// A request that was in flight when its connection broke.
+struct LostRequest
+{
+    Fingerprint fingerprint = 0;
+    std::uint64_t caller = 0;
+    std::string server;
+    /// Boot number of the server when the request was sent; 0 when not known, then the last number seen before.
+    std::uint64_t boot = 0;
+};
+
+/// Crash suspects of one daemon.
+///
+/// Events: a connection lost with a request in flight, a boot number seen (health, grant reply), a success, a peer's
+/// report. Calls that change shared knowledge return the reports for the peers.
+class CrashSuspects
+{
+public:
+    explicit CrashSuspects(SuspectSettings settings = {});
+
+    std::vector<SuspectReport> connectionLost(Instant now, const LostRequest &lost);
+    std::vector<SuspectReport> bootSeen(Instant now, const std::string &server, std::uint64_t boot);
+    /// A complete response came back for this fingerprint.
+    std::vector<SuspectReport> succeeded(Instant now, Fingerprint fingerprint);
+    void reportReceived(Instant now, const SuspectReport &report);
+
+    /// Check before every attempt. Set when the request must not be sent to a server.
+    std::optional<Refusal> refusalFor(Instant now, Fingerprint fingerprint) const;
+    /// Drops what has expired. Call about every second.
+    void expire(Instant now);
+
+    std::size_t size() const
+    {
+        return m_suspects.size();
+    }
+
+private:
+    struct Suspect
+    {
+        std::uint64_t caller = 0;
+        std::array<std::uint64_t, SuspectReport::maxServers> servers{};
+        Instant expiresAt{};
+    };
+    struct Pending
+    {
+        LostRequest lost;
+        Instant expiresAt{};
+    };
+    Suspect *suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller);
+    std::optional<SuspectReport> confirm(Instant now, const LostRequest &lost);
+    void erase(Fingerprint fingerprint);
+    void evictOldest();
+
+    SuspectSettings m_settings;
+    std::unordered_map<Fingerprint, Suspect> m_suspects;
+    std::unordered_map<std::uint64_t, std::size_t> m_perCaller;
+    std::vector<Pending> m_pending;
+    std::map<std::string, std::uint64_t> m_boots;
+};
+
+}
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -26,6 +26,8 @@
                "Idempotency-Key is older than the keeper's record; it may have run"},
     ReasonInfo{Reason::RequestIdInFlight, "request-id-in-flight", 409, Unknown,
                "a request with the same Idempotency-Key is still in flight"},
+    ReasonInfo{Reason::RequestIdAnswered, "request-id-answered", 409, Unknown,
+               "the request with this Idempotency-Key ran; its response was too large to keep"},
     ReasonInfo{Reason::BodyTooLarge, "body-too-large", 413, NotRun, "body exceeds the document's limit"},
     ReasonInfo{Reason::NoConfiguration, "no-configuration", 503, NotRun,
                "neither the platform nor a peer has given a configuration yet"},
