--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 /// Umbrella header of the galenarock library.
+#include <galenarock/admission.h>
 #include <galenarock/assignment.h>
 #include <galenarock/base.h>
 #include <galenarock/control.h>
@@ -8,12 +9,16 @@
 #include <galenarock/error.h>
 #include <galenarock/eventlog.h>
 #include <galenarock/grantholder.h>
+#include <galenarock/ledger.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
 #include <galenarock/ownership.h>
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
 #include <galenarock/requests.h>
+#include <galenarock/retry.h>
 #include <galenarock/ring.h>
 #include <galenarock/routing.h>
+#include <galenarock/serverchoice.h>
+#include <galenarock/suspects.h>
 #include <galenarock/thread.h>
