Add the settings of galenarockd from flags and environment variables

Cause: a VM that starts with wrong settings has to say everything that is wrong with them at once; nobody is on duty for a second attempt. Change: settings.h and settings.cpp, driven by one table. Unknown, missing, malformed, repeated and contradictory settings are collected as findings whose place is the flag or variable. Boost.Program_options stops at the first syntax error, so the faulty argument is removed and the rest is parsed again. Messages never show the peer key. Ruled out: host names in addresses; a daemon must start while name resolution is down. A key flag overrides a key file from the environment instead of contradicting it, because a flag overrides its variable. Conclusion: settingsExitStatus() gives status 2 with all findings printed.

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -12,4 +12,5 @@
 #include <galenarock/platform.h>
 #include <galenarock/requests.h>
 #include <galenarock/ring.h>
+#include <galenarock/settings.h>
 #include <galenarock/thread.h>
