--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -21,4 +21,5 @@
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
 #include <galenarock/suspects.h>
+#include <galenarock/settings.h>
 #include <galenarock/thread.h>
