Connect the proxy to admission, retries, ledger and crash suspects

Cause: the first handler had no queue, no retry plan and no request ledger. Change: a request passes classification, ledger, admission queue and attempts; a daemon that does not keep a request id forwards to the one that does. Ruled out: a lock on the path of idempotent requests; only non-repeatable requests take the keeper's lock, and suspects are skipped while none exist.

--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -7,18 +7,23 @@
 
 #include <galenarock/error.h>
 #include <galenarock/metrics.h>
+#include <galenarock/peer.h>
+#include <galenarock/requestkeeper.h>
 #include <galenarock/routing.h>
+#include <galenarock/sharedsuspects.h>
 
 /// The HTTP proxy: worker threads that take callers' requests, choose a backend server and stream the response back.
 namespace Galenarock
 {
 
-/// State that the control thread shares with the workers. Workers only read it.
+/// State that the control thread shares with the workers.
 class ProxyShared
 {
 public:
-    explicit ProxyShared(Metrics &metrics)
+    ProxyShared(Metrics &metrics, Identity self, PeerKey peerKey)
         : m_metrics(metrics)
+        , m_peerKey(peerKey)
+        , m_keeper(std::move(self))
     {
     }
 
@@ -44,6 +49,27 @@
     {
         m_refusing.store(true, std::memory_order_relaxed);
     }
+    /// Live daemons, this one included, among which slots and connections are divided.
+    std::uint32_t liveDaemons() const
+    {
+        return m_liveDaemons.load(std::memory_order_relaxed);
+    }
+    void setLiveDaemons(std::uint32_t n)
+    {
+        m_liveDaemons.store(n == 0 ? 1 : n, std::memory_order_relaxed);
+    }
+    const PeerKey &peerKey() const
+    {
+        return m_peerKey;
+    }
+    RequestKeeper &keeper()
+    {
+        return m_keeper;
+    }
+    SharedSuspects &suspects()
+    {
+        return m_suspects;
+    }
     /// Requests that have arrived and have no outcome yet.
     std::atomic<std::int64_t> &inFlight()
     {
@@ -52,6 +78,10 @@
 
 private:
     Metrics &m_metrics;
+    const PeerKey m_peerKey;
+    RequestKeeper m_keeper;
+    SharedSuspects m_suspects;
+    std::atomic<std::uint32_t> m_liveDaemons{1};
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::atomic<bool> m_refusing{false};
     std::atomic<std::int64_t> m_inFlight{0};
--- /dev/null
+++ b/src/daemon/controlthread.cpp
@@ -0,0 +1,107 @@
+#include "controlthread_p.h"
+
+#include <ctime>
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "events_p.h"
+
+namespace Galenarock
+{
+
+namespace
+{
+constexpr std::size_t RingCapacity = 8'192;
+constexpr Duration TickInterval = milliseconds(50);
+constexpr int LongestWaitMs = 10; // a fifth of the tick, so that ticks are at most 20% late
+constexpr int EventsPerSource = 256;
+constexpr const char *sourceNames[eventSourceCount] = {"platform", "peers", "servers", "main"};
+}
+
+ControlThread::ControlThread(Metrics &metrics, Hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_events(metrics.counter("galenarock_control_events_total"))
+    , m_wakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    for (const char *it : sourceNames) {
+        m_rings.push_back(std::make_unique<Ring<ControlEvent>>(RingCapacity));
+        m_rejected.push_back(&metrics.counter("galenarock_control_ring_full_total", fmt::format("source=\"{}\"", it)));
+    }
+}
+
+ControlThread::~ControlThread()
+{
+    stop();
+    close(m_wakeFd);
+}
+
+void ControlThread::start()
+{
+    m_thread = Thread("control", [this] { loop(); });
+}
+
+void ControlThread::stop()
+{
+    m_stopWanted.store(true);
+    m_thread.join();
+}
+
+bool ControlThread::post(EventSource source, ControlEvent event)
+{
+    const auto index = static_cast<std::size_t>(source);
+    if (!m_rings[index]->tryPush(std::move(event))) {
+        m_rejected[index]->add();
+        logEvent(Events::ControlRingFull, "source {}", sourceNames[index]);
+        return false;
+    }
+    const std::uint64_t one = 1;
+    static_cast<void>(!write(m_wakeFd, &one, sizeof one));
+    return true;
+}
+
+void ControlThread::loop()
+{
+    while (!m_stopWanted.load(std::memory_order_relaxed)) {
+        waitForEvents();
+        runBatch(MonotonicClock::now());
+        measureCpu();
+    }
+}
+
+void ControlThread::waitForEvents() const
+{
+    pollfd entry{m_wakeFd, POLLIN, 0};
+    if (poll(&entry, 1, LongestWaitMs) <= 0) {
+        return;
+    }
+    std::uint64_t n = 0;
+    static_cast<void>(!read(m_wakeFd, &n, sizeof n));
+}
+
+void ControlThread::runBatch(Instant now)
+{
+    ControlEvent event;
+    for (const auto &ring : m_rings) {
+        for (int n = 0; n < EventsPerSource && ring->tryPop(event); ++n) {
+            m_events.add();
+            m_hooks.onEvent(now, event);
+        }
+    }
+    if (now >= m_nextTick) {
+        m_nextTick = now + TickInterval;
+        m_hooks.onEvent(now, TickEvent());
+    }
+    m_hooks.onBatchEnd(now);
+}
+
+void ControlThread::measureCpu()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    m_cpuSeconds.store(static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9,
+                       std::memory_order_relaxed);
+}
+
+}
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -54,6 +54,19 @@
     return list;
 }
 
+std::string Exchange::callerAddress() const
+{
+    const auto *info =
+        m_connection ? MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS) : nullptr;
+    if (!info || info->client_addr->sa_family != AF_INET) {
+        return {};
+    }
+    char text[INET_ADDRSTRLEN] = "";
+    const auto *address = reinterpret_cast<const sockaddr_in *>(info->client_addr);
+    inet_ntop(AF_INET, &address->sin_addr, text, sizeof text);
+    return text;
+}
+
 std::optional<std::uint64_t> Exchange::contentLength() const
 {
     if (!header("Transfer-Encoding").empty()) {
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -40,6 +40,8 @@
     /// Value of a request header, empty when absent. Must not be called after the caller has gone.
     std::string_view header(const char *name) const;
     std::vector<HeaderField> headers() const;
+    /// IP address of the connection's other end.
+    std::string callerAddress() const;
     /// Empty for a chunked body; 0 when the request has no body.
     std::optional<std::uint64_t> contentLength() const;
 
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -3,7 +3,11 @@
 #include <memory>
 #include <string>
 
+#include <galenarock/ledger.h>
+#include <galenarock/retry.h>
 #include <galenarock/routing.h>
+#include <galenarock/serverchoice.h>
+#include <galenarock/suspects.h>
 
 #include "exchange_p.h"
 #include "upstream_p.h"
@@ -24,10 +28,9 @@
 struct PendingRequest
 {
     std::shared_ptr<Exchange> exchange;
-    /// Keeps `route` alive while newer snapshots replace it.
-    std::shared_ptr<const RoutingSnapshot> snapshot;
-    const ServiceRoute *route = nullptr;
+    /// Service, document and servers as of the newest snapshot; null until the service is known.
     ServiceTraffic *traffic = nullptr;
+    std::uint64_t ticket = 0;
 
     std::string method;
     /// Path after the service's name, with the query.
@@ -35,9 +38,17 @@
     std::string key;
     KeyHash hash = 0;
     std::string requestId;
+    std::optional<RequestId> id;
     bool idempotent = false;
     /// The request came from another daemon, which chose this one as keeper of the request id.
     bool viaPeer = false;
+    /// This daemon's ledger has the id in flight and must learn the outcome.
+    bool inLedger = false;
+    /// The attempt goes to the daemon that keeps the request id instead of a server.
+    bool toKeeper = false;
+    std::string keeperAddress;
+    Fingerprint fingerprint = 0;
+    std::uint64_t caller = 0;
     Instant arrivedAt;
     Instant deadline;
     std::vector<std::string> forwardedHeaders;
@@ -48,9 +59,13 @@
     std::string body;
     std::uint64_t bodyReceived = 0;
 
-    unsigned attempts = 0;
+    std::optional<AttemptPlan> plan;
+    bool isQueued = false;
     Attempt *attempt = nullptr;
     ServerIndex server = noServer;
+    /// Name and boot of the server of the present attempt.
+    Identity serverIdentity;
+    ServerHandle handle = 0;
     Token token;
     Instant attemptStartedAt;
     bool sendingPaused = false;
@@ -61,6 +76,9 @@
     std::string responseBody;
     /// Reason given by the server that it did not run the request; Reason::None for a real response.
     Reason serverRefusal = Reason::None;
+    /// Reported by another daemon that kept the request id: the request may have run.
+    bool keeperUnknown = false;
+    std::string reportedLoad;
     bool streamsResponse = false;
     bool finished = false;
 };
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -1,55 +1,45 @@
 #include "requesthandler_p.h"
 
 #include <algorithm>
+
+#include <strings.h>
+
 #include <fmt/format.h>
 
-#include "headerfields_p.h"
+#include "peerauth_p.h"
 
 namespace Galenarock
 {
 
 namespace
 {
-std::string_view pathSegment(std::string_view path, int index)
-{
-    path = path.substr(0, path.find('?'));
-    for (int n = 0; !path.empty(); ++n) {
-        path.remove_prefix(1); // the slash
-        const auto segment = path.substr(0, path.find('/'));
-        if (n == index) {
-            return segment;
-        }
-        path.remove_prefix(segment.size());
-    }
-    return {};
-}
-}
+constexpr Duration SweepInterval = milliseconds(20);
 
-ServiceTraffic::ServiceTraffic(Metrics &metrics, const std::string &service)
-    : answered(metrics.counter("galenarock_answered_total", fmt::format("service=\"{}\"", service)))
-    , lateAnswers(metrics.counter("galenarock_late_answers_total", fmt::format("service=\"{}\"", service)))
-    , latency(metrics.histogram("galenarock_request_seconds", fmt::format("service=\"{}\"", service)))
+bool hasHeader(const std::vector<std::string> &lines, std::string_view name)
 {
-    for (std::size_t n = 0; n < reasonCount(); ++n) {
-        const auto labels = fmt::format("service=\"{}\",reason=\"{}\"", service, reasonAt(n).code);
-        m_refusals.push_back(&metrics.counter("galenarock_refusals_total", labels));
-        m_retries.push_back(&metrics.counter("galenarock_retries_total", labels));
-    }
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string &it) {
+        return it.size() > name.size() && strncasecmp(it.data(), name.data(), name.size()) == 0
+            && (it[name.size()] == ':' || it[name.size()] == ';');
+    });
+}
 }
 
 RequestHandler::RequestHandler(ProxyShared &shared, UpstreamClient &upstream)
     : m_shared(shared)
     , m_upstream(upstream)
 {
+    for (std::size_t n = 0; n < reasonCount(); ++n) {
+        const auto labels = fmt::format("service=\"\",reason=\"{}\"", reasonAt(n).code);
+        m_unroutedRefusals.push_back(&shared.metrics().counter("galenarock_refusals_total", labels));
+    }
 }
 
-ServiceTraffic &RequestHandler::traffic(const std::string &service)
+void RequestHandler::withRequest(const std::weak_ptr<PendingRequest> &weak,
+                                 const std::function<void(const Pending &)> &body)
 {
-    auto &slot = m_traffic[service];
-    if (!slot) {
-        slot = std::make_unique<ServiceTraffic>(m_shared.metrics(), service);
+    if (const auto request = weak.lock()) {
+        body(request);
     }
-    return *slot;
 }
 
 void RequestHandler::handleRequest(const std::shared_ptr<Exchange> &exchange)
@@ -57,15 +47,22 @@
     auto request = std::make_shared<PendingRequest>();
     m_now = MonotonicClock::now();
     m_shared.inFlight().fetch_add(1, std::memory_order_relaxed);
+    m_active.insert(request);
     request->exchange = exchange;
-    request->snapshot = m_shared.snapshot();
+    request->ticket = m_nextTicket++;
     request->arrivedAt = m_now;
     request->method = exchange->method();
-    m_active.insert(request);
+    request->caller = hashKey(exchange->callerAddress());
     const std::weak_ptr<PendingRequest> weak = request; // the exchange must not own the request that owns it
     exchange->onGone = [this, weak](bool complete) {
         withRequest(weak, [&](const Pending &it) { handleGone(it, complete); });
     };
+    if (exchange->target() == PeerGrantsPath && !exchange->header(PeerAuthHeader).empty()) {
+        exchange->onBody = [this, weak] {
+            withRequest(weak, [&](const Pending &it) { receiveGrant(it); });
+        };
+        return;
+    }
     const auto refusal = classify(*request, *exchange);
     if (refusal.reason != Reason::None) {
         refuse(request, refusal);
@@ -76,78 +73,31 @@
     };
 }
 
-void RequestHandler::withRequest(const std::weak_ptr<PendingRequest> &weak,
-                                 const std::function<void(const Pending &)> &body)
+void RequestHandler::receiveGrant(const Pending &request)
 {
-    if (const auto request = weak.lock()) {
-        body(request);
+    auto &exchange = *request->exchange;
+    request->body.append(exchange.requestBody().data(), exchange.requestBody().size());
+    exchange.requestBody().clear();
+    if (!exchange.isRequestComplete()) {
+        return;
     }
-}
-
-Refusal RequestHandler::classify(PendingRequest &request, const Exchange &exchange) const
-{
-    const std::string_view target = exchange.target();
-    if (target.empty() || target.front() != '/') {
-        return {Reason::MalformedRequest, Outcome::NotRun, "the target must start with /<service>", 0};
-    }
-    const auto nameEnd = std::min(target.find_first_of("/?", 1), target.size());
-    const auto service = target.substr(1, nameEnd - 1);
-    request.path = nameEnd < target.size() && target[nameEnd] == '/' ? std::string(target.substr(nameEnd))
-                                                                     : "/" + std::string(target.substr(nameEnd));
-    if (m_shared.isRefusing()) {
-        return {Reason::StoppingVm, Outcome::NotRun, {}, 0};
-    }
-    if (!request.snapshot) {
-        return {Reason::NoConfiguration, Outcome::NotRun, {}, 0};
-    }
-    request.route = request.snapshot->find(service);
-    if (!request.route) {
-        return {Reason::UnknownService, Outcome::NotRun, fmt::format("service '{}' has no document", service), 0};
-    }
-    const auto &document = request.route->document();
-    request.traffic = &const_cast<RequestHandler *>(this)->traffic(document.service);
-    if (document.distribution == Distribution::Keyed) {
-        const auto key = document.key.header.empty() ? pathSegment(request.path, document.key.pathSegment)
-                                                     : exchange.header(document.key.header.c_str());
-        if (key.empty()) {
-            const auto place = document.key.header.empty() ? fmt::format("path segment {}", document.key.pathSegment)
-                                                           : fmt::format("header {}", document.key.header);
-            return {Reason::MissingKey, Outcome::NotRun, fmt::format("{} is empty", place), 0};
-        }
-        request.key = key;
-        request.hash = hashKey(key);
-    }
-    std::int64_t deadlineMs = document.requests.deadlineMs;
-    if (const auto wanted = parseNumber(exchange.header("Galenarock-Deadline-Ms"))) {
-        deadlineMs = std::min<std::int64_t>(deadlineMs, static_cast<std::int64_t>(*wanted));
-    }
-    request.deadline = request.arrivedAt + milliseconds(deadlineMs);
-    const auto length = exchange.contentLength();
-    request.bodySize = length ? static_cast<std::int64_t>(*length) : -1;
-    if (length && *length > document.requests.maxBodyBytes) {
-        return {Reason::BodyTooLarge, Outcome::NotRun,
-                fmt::format("{} bytes, the limit is {}", *length, document.requests.maxBodyBytes), 0};
-    }
-    request.streamsBody = !length || *length > ReplayableBodyBytes;
-    return classifyId(request, exchange);
-}
-
-Refusal RequestHandler::classifyId(PendingRequest &request, const Exchange &exchange) const
-{
-    const auto &methods = request.route->document().requests.idempotentMethods;
-    request.idempotent = std::find(methods.begin(), methods.end(), request.method) != methods.end();
-    request.requestId = exchange.header("Idempotency-Key");
-    if (!request.idempotent && request.requestId.empty()) {
-        return {Reason::RequestIdMissing, Outcome::NotRun, {}, 0};
-    }
-    for (const auto &it : exchange.headers()) {
-        if (isHopByHop(it.name) || isInternal(it.name) || equalsIgnoreCase(it.name, "Content-Length")
-            || equalsIgnoreCase(it.name, "Expect")) {
-            continue;
-        }
-        request.forwardedHeaders.push_back(it.value.empty() ? it.name + ";" : it.name + ": " + it.value);
+    if (!isPeerAuth(m_shared.peerKey(), request->body, exchange.header(PeerAuthHeader))) {
+        refuse(request, {Reason::MalformedRequest, Outcome::NotRun, "message authentication failed", 0});
+        return;
+    }
+    const auto json = nlohmann::json::parse(request->body, nullptr, false);
+    const auto reply = tryOr(
+        [&]() -> Result<nlohmann::json> {
+            BOOST_LEAF_AUTO(grant, grantRequestFromJson(json));
+            return toJson(m_shared.keeper().handleGrant(MonotonicClock::now(), wallClockNow(), grant));
+        },
+        [](ErrorCode, const std::string &) { return nlohmann::json(); });
+    if (reply.is_null()) {
+        refuse(request, {Reason::MalformedRequest, Outcome::NotRun, "malformed grant request", 0});
+        return;
     }
-    return {};
+    exchange.respond(200, {{"Content-Type", "application/json"}}, reply.dump());
+    finish(request);
 }
 
 void RequestHandler::receiveBody(const Pending &request)
@@ -158,8 +108,8 @@
         return;
     }
     if (request->streamsBody) {
-        if (!request->attempt && request->attempts == 0) {
-            dispatch(request);
+        if (request->plan->attempts() == 0 && !request->isQueued && !request->attempt) {
+            bodyReady(request);
         } else {
             scheduleResume(request, request->sendingPaused);
         }
@@ -169,54 +119,146 @@
     request->body.append(buffer.data(), buffer.size());
     buffer.clear();
     if (exchange.isRequestComplete()) {
+        bodyReady(request);
+    }
+}
+
+void RequestHandler::bodyReady(const Pending &request)
+{
+    m_now = MonotonicClock::now();
+    const auto &service = request->traffic->route->document().service;
+    request->fingerprint =
+        requestFingerprint(service, request->method, request->path,
+                           std::string_view(request->body).substr(0, fingerprintBodyBytes), request->requestId);
+    if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
+        refuse(request, *refusal);
+        return;
+    }
+    if (request->id && !passLedger(request)) {
+        return;
+    }
+    if (request->toKeeper) {
         dispatch(request);
+        return;
+    }
+    admit(request);
+}
+
+void RequestHandler::admit(const Pending &request)
+{
+    auto &traffic = *request->traffic;
+    const auto &document = traffic.route->document();
+    AdmissionRequest entry{request->ticket, document.requests.trafficClass, document.requests.priority,
+                           request->deadline, noServer};
+    if (document.distribution == Distribution::Keyed) {
+        entry.server = traffic.route->owner(request->hash, m_now).server;
+    }
+    traffic.budget.countFresh();
+    const auto concurrency = traffic.concurrency(m_now, entry.server);
+    const auto decision = traffic.admission.offer(m_now, entry, std::max(concurrency, 1U));
+    if (decision.refusal) {
+        refuse(request, *decision.refusal);
+        return;
+    }
+    request->isQueued = true;
+    traffic.queued.emplace(request->ticket, request);
+    if (decision.displaced) {
+        dropQueued(traffic, {*decision.displaced});
+    }
+    pump(traffic);
+}
+
+bool RequestHandler::fits(ServiceTraffic &traffic, const AdmissionRequest &entry)
+{
+    const auto found = traffic.queued.find(entry.ticket);
+    if (found == traffic.queued.end()) {
+        return true;
     }
+    const auto owner = traffic.choose(m_now, *found->second);
+    if (traffic.route->document().distribution == Distribution::Keyed) {
+        // Without an owner the request is taken out and refused or delayed by its attempt plan.
+        return owner.reason != Reason::None || traffic.hasRoom(m_now, owner.server);
+    }
+    return owner.reason == Reason::None;
 }
 
-Owner RequestHandler::chooseServer(PendingRequest &request) const
+void RequestHandler::pump(ServiceTraffic &traffic)
 {
-    if (request.route->document().distribution == Distribution::Keyed) {
-        return request.route->owner(request.hash, m_now);
+    std::vector<DroppedRequest> dropped;
+    while (const auto next = traffic.admission.next(
+               m_now, [&](const AdmissionRequest &it) { return fits(traffic, it); }, dropped)) {
+        const auto found = traffic.queued.find(next->ticket);
+        if (found == traffic.queued.end()) {
+            continue;
+        }
+        const auto request = found->second;
+        traffic.queued.erase(found);
+        request->isQueued = false;
+        dispatch(request);
     }
-    const auto &servers = request.route->servers();
-    for (std::size_t n = 0; n < servers.size(); ++n) {
-        const auto index = request.traffic->nextServer++ % servers.size();
-        if (!servers[index].acceptsWork()) {
+    dropQueued(traffic, dropped);
+}
+
+void RequestHandler::dropQueued(ServiceTraffic &traffic, const std::vector<DroppedRequest> &dropped)
+{
+    for (const auto &it : dropped) {
+        const auto found = traffic.queued.find(it.request.ticket);
+        if (found == traffic.queued.end()) {
             continue;
         }
-        return {static_cast<ServerIndex>(index), Token{}, Reason::None};
+        const auto request = found->second;
+        traffic.queued.erase(found);
+        request->isQueued = false;
+        refuse(request, it.refusal);
     }
-    return {noServer, Token{}, Reason::NoServer};
 }
 
 void RequestHandler::dispatch(const Pending &request)
 {
-    const auto owner = chooseServer(*request);
+    if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
+        refuse(request, *refusal);
+        return;
+    }
+    auto &traffic = *request->traffic;
+    if (request->toKeeper) {
+        request->serverIdentity = {};
+        startAttempt(request, "http://" + request->keeperAddress + request->exchange->target());
+        return;
+    }
+    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveDaemons());
+    const auto owner = traffic.choose(m_now, *request);
     if (owner.reason != Reason::None) {
-        refuse(request, {owner.reason, reasonInfo(owner.reason).outcome, {}, 0});
+        request->server = noServer;
+        tryAgain(request, {owner.reason, Outcome::NotRun, {}, 0}, AttemptResult{});
         return;
     }
+    const auto &server = traffic.route->servers()[owner.server];
     request->server = owner.server;
+    request->serverIdentity = server.identity;
     request->token = owner.token;
-    startAttempt(request);
+    request->handle = traffic.observations.started(m_now, owner.server);
+    startAttempt(request, "http://" + server.address + request->path);
 }
 
 std::vector<std::string> RequestHandler::makeHeaders(const PendingRequest &request, Instant now) const
 {
     auto lines = request.forwardedHeaders;
-    const auto leftMs = duration_cast<milliseconds>(request.deadline - now).count();
-    lines.push_back("Galenarock-Service: " + request.route->document().service);
-    lines.push_back(fmt::format("Galenarock-Deadline-Ms: {}", leftMs));
-    if (!request.key.empty()) {
-        lines.push_back("Galenarock-Key: " + request.key);
-        lines.push_back("Galenarock-Token: " + toString(request.token));
-    }
-    if (!request.requestId.empty()) {
-        lines.push_back("Galenarock-Request-Id: " + request.requestId);
+    lines.push_back(fmt::format("Galenarock-Deadline-Ms: {}", remainingForHop(now, request.deadline)));
+    if (request.toKeeper) {
+        const auto mac = peerAuth(m_shared.peerKey(), request.exchange->target() + request.requestId);
+        lines.push_back(fmt::format("{}: {}", PeerAuthHeader, mac));
+    } else {
+        lines.push_back("Galenarock-Service: " + request.traffic->route->document().service);
+        if (!request.key.empty()) {
+            lines.push_back("Galenarock-Key: " + request.key);
+            lines.push_back("Galenarock-Token: " + toString(request.token));
+        }
+        if (!request.requestId.empty()) {
+            lines.push_back("Galenarock-Request-Id: " + request.requestId);
+        }
     }
     lines.emplace_back("Expect:"); // libcurl would wait for "100 Continue" before large bodies
-    if (std::none_of(lines.begin(), lines.end(),
-                     [](const std::string &it) { return strncasecmp(it.c_str(), "Content-Type:", 13) == 0; })) {
+    if (!hasHeader(lines, "Content-Type")) {
         lines.emplace_back("Content-Type:"); // libcurl would add a form type
     }
     return lines;
@@ -242,13 +284,13 @@
     return hooks;
 }
 
-void RequestHandler::startAttempt(const Pending &request)
+void RequestHandler::startAttempt(const Pending &request, const std::string &url)
 {
-    ++request->attempts;
-    const auto &server = request->route->servers()[request->server];
+    request->plan->started();
+    request->traffic->attempts.add();
     AttemptRequest attempt;
     attempt.method = request->method;
-    attempt.url = "http://" + server.address + request->path;
+    attempt.url = url;
     attempt.headerLines = makeHeaders(*request, m_now);
     attempt.body = request->body.data();
     attempt.bodySize = request->streamsBody ? request->bodySize : static_cast<std::int64_t>(request->body.size());
@@ -257,6 +299,7 @@
     request->responseHeaders.clear();
     request->responseBody.clear();
     request->serverRefusal = Reason::None;
+    request->keeperUnknown = false;
     request->attemptStartedAt = m_now;
     request->attempt = m_upstream.start(std::move(attempt), makeHooks(request));
 }
@@ -267,7 +310,7 @@
     const auto taken = exchange.requestBody().take(out, n);
     if (taken > 0) {
         request.bodyReceived += taken;
-        if (request.bodyReceived > request.route->document().requests.maxBodyBytes) {
+        if (request.bodyReceived > request.traffic->route->document().requests.maxBodyBytes) {
             return CURL_READFUNC_ABORT;
         }
         exchange.continueRequestBody();
@@ -283,4 +326,46 @@
     return CURL_READFUNC_PAUSE;
 }
 
+void RequestHandler::scheduleResume(const Pending &request, bool isPaused)
+{
+    if (isPaused && request->attempt) {
+        m_toResume.push_back(request);
+    }
+}
+
+void RequestHandler::run(Instant now)
+{
+    m_now = now;
+    const auto list = std::move(m_toResume);
+    m_toResume.clear();
+    for (const auto &it : list) {
+        if (!it->attempt) {
+            continue;
+        }
+        it->sendingPaused = false;
+        it->receivingPaused = false;
+        m_upstream.resume(it->attempt);
+    }
+    auto delayed = std::move(m_delayed);
+    m_delayed.clear();
+    for (auto &it : delayed) {
+        if (it.request->finished) {
+            continue;
+        }
+        if (it.at > now) {
+            m_delayed.push_back(std::move(it));
+            continue;
+        }
+        dispatch(it.request);
+    }
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + SweepInterval;
+    for (const auto &[name, it] : m_traffic) {
+        it->refresh(now, m_shared.snapshot(), m_shared.liveDaemons());
+        pump(*it);
+    }
+}
+
 }
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -6,7 +6,7 @@
 #include "headerfields_p.h"
 #include "requesthandler_p.h"
 
-/// The second half of a request's life: the server's response, further attempts, and the one outcome.
+/// Last part of a request's life: the server's response, further attempts, and the one outcome.
 namespace Galenarock
 {
 
@@ -21,36 +21,59 @@
     if (status == 429 || status == 503) {
         headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(1, (refusal.untilMs + 999) / 1000))});
     }
+    if (refusal.reason == Reason::StoppingVm) {
+        headers.push_back({"Connection", "close"});
+    }
     return headers;
 }
 
-/// What a failed attempt means for the caller if no further attempt is made.
-Refusal refusalOf(const PendingRequest &request, const AttemptResult &result)
+/// Why an attempt gave no complete response.
+Reason reasonOf(const PendingRequest &request, const AttemptResult &result)
 {
     if (request.serverRefusal != Reason::None) {
-        return {request.serverRefusal, Outcome::NotRun, {}, 0};
+        return request.serverRefusal;
     }
     if (!result.sent) {
-        return {Reason::ConnectFailed, Outcome::NotRun, result.error, 0};
+        return request.toKeeper ? Reason::KeeperUnavailable : Reason::ConnectFailed;
+    }
+    if (result.timedOut) {
+        return Reason::DeadlinePassed;
+    }
+    return request.responseStatus != 0 ? Reason::ResponseCut : Reason::ConnectionLost;
+}
+
+AttemptEnd endOf(Reason reason, unsigned status)
+{
+    switch (reason) {
+    case Reason::None:
+        return status >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
+    case Reason::ServerShed:
+    case Reason::DeadlineTooShort:
+        return AttemptEnd::Shed;
+    case Reason::ServerCold:
+    case Reason::ServerDraining:
+    case Reason::NotOwner:
+        return AttemptEnd::NotReady;
+    default:
+        return AttemptEnd::Failed;
     }
-    const auto reason = result.timedOut ? Reason::DeadlinePassed
-        : request.responseStatus != 0   ? Reason::ResponseCut
-                                        : Reason::ConnectionLost;
-    return {reason, Outcome::Unknown, result.error, 0};
 }
 }
 
 void RequestHandler::handleHead(const Pending &request, unsigned status, std::vector<HeaderField> headers)
 {
     request->responseStatus = status;
-    if (fieldOf(headers, "Galenarock-Outcome") == toString(Outcome::NotRun)) {
+    request->reportedLoad = fieldOf(headers, "Galenarock-Load");
+    const auto outcome = fieldOf(headers, "Galenarock-Outcome");
+    if (outcome == toString(Outcome::NotRun) || (request->toKeeper && outcome == toString(Outcome::Unknown))) {
         const auto reason = reasonFromCode(fieldOf(headers, "Galenarock-Reason"));
         request->serverRefusal = reason == Reason::None ? Reason::ServerShed : reason;
+        request->keeperUnknown = outcome == toString(Outcome::Unknown);
         return;
     }
     const auto length = parseNumber(fieldOf(headers, "Content-Length"));
     for (auto &it : headers) {
-        if (isHopByHop(it.name) || equalsIgnoreCase(it.name, "Content-Length")) {
+        if (isHopByHop(it.name) || isInternal(it.name) || equalsIgnoreCase(it.name, "Content-Length")) {
             continue;
         }
         request->responseHeaders.push_back(std::move(it));
@@ -64,7 +87,7 @@
     request->exchange->onResponseDrained = [this, weak] {
         withRequest(weak, [&](const Pending &it) { scheduleResume(it, it->receivingPaused); });
     };
-    request->exchange->startResponse(status, std::move(request->responseHeaders), length);
+    request->exchange->startResponse(status, request->responseHeaders, length);
 }
 
 bool RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
@@ -89,43 +112,79 @@
     request->attempt = nullptr;
     request->sendingPaused = false;
     request->receivingPaused = false;
-    if (result.resendStopped) {
-        logEvent(Events::ResendStopped, "service {} server {}", request->route->document().service,
-                 request->route->servers()[request->server].identity.name);
-    }
-    if (result.complete && request->serverRefusal == Reason::None) {
+    const bool isAnswer = result.complete && request->serverRefusal == Reason::None;
+    const auto reason = isAnswer ? Reason::None : reasonOf(*request, result);
+    observe(*request, result, reason);
+    if (isAnswer) {
         answer(request);
-        return;
+    } else if (request->streamsResponse) {
+        cutResponse(request, result.error);
+    } else if (request->keeperUnknown) {
+        refuse(request, {request->serverRefusal, Outcome::Unknown, {}, 0});
+    } else {
+        tryAgain(request, {reason, reasonInfo(reason).outcome, result.error, 0}, result);
     }
-    const auto refusal = refusalOf(*request, result);
-    if (request->streamsResponse) {
-        logEvent(Events::ResponseCut, "service {}: {}", request->route->document().service, result.error);
-        request->traffic->refusals(Reason::ResponseCut).add();
-        request->exchange->abortResponse();
-        finish(request);
-        return;
+    pump(*request->traffic);
+}
+
+void RequestHandler::observe(PendingRequest &request, const AttemptResult &result, Reason reason)
+{
+    if (result.resendStopped) {
+        logEvent(Events::ResendStopped, "service {} server {}", request.traffic->route->document().service,
+                 request.serverIdentity.name);
     }
-    if (mayTryAgain(*request, refusal)) {
-        request->traffic->retries(refusal.reason).add();
-        dispatch(request);
+    if (request.server == noServer) {
         return;
     }
-    refuse(request, refusal);
+    const auto latency = m_now - request.attemptStartedAt;
+    request.traffic->observations.finished(
+        m_now, request.handle,
+        {endOf(reason, request.responseStatus), latency, parseReportedLoad(request.reportedLoad)});
+    if (reason == Reason::None) {
+        request.traffic->admission.finished(latency);
+    } else if (reason == Reason::ConnectionLost || reason == Reason::ResponseCut) {
+        reportLost(request);
+    }
 }
 
-bool RequestHandler::mayTryAgain(const PendingRequest &request, const Refusal &refusal) const
+void RequestHandler::reportLost(const PendingRequest &request)
 {
-    if (refusal.outcome != Outcome::NotRun && !request.idempotent) {
-        return false;
+    m_shared.suspects().connectionLost(
+        m_now, {request.fingerprint, request.caller, request.serverIdentity.name, request.serverIdentity.boot});
+}
+
+void RequestHandler::tryAgain(const Pending &request, const Refusal &refusal, const AttemptResult &result)
+{
+    AttemptReport report;
+    report.reason = refusal.reason;
+    report.server = request->server;
+    report.bytesSent = result.sent;
+    report.saidNotRun = request->serverRefusal != Reason::None;
+    report.bodyAvailable = !request->streamsBody || request->bodyReceived == 0;
+    auto &traffic = *request->traffic;
+    const auto decision =
+        request->plan->failed(m_now, report, traffic.budget, traffic.admission.serviceTime(), request->ticket);
+    if (!decision.again || request->exchange->isCallerGone()) {
+        refuse(request, decision.refusal);
+        return;
     }
-    const bool bodyIsGone = request.streamsBody && request.bodyReceived > 0;
-    return !bodyIsGone && request.attempts < request.route->document().retry.maxAttempts && m_now < request.deadline;
+    traffic.retries(refusal.reason).add();
+    m_delayed.push_back({m_now + decision.delay, request});
 }
 
 void RequestHandler::answer(const Pending &request)
 {
     request->traffic->answered.add();
     request->traffic->latency.record(std::chrono::duration<double>(m_now - request->arrivedAt).count());
+    m_shared.suspects().succeeded(m_now, request->fingerprint);
+    if (request->inLedger) {
+        RecordedResponse response{request->responseStatus, {}, request->responseBody};
+        for (const auto &it : request->responseHeaders) {
+            response.headers.emplace_back(it.name, it.value);
+        }
+        request->inLedger = false;
+        m_shared.keeper().answered(*request->id, std::move(response));
+    }
     if (request->streamsResponse) {
         request->exchange->finishResponse();
     } else {
@@ -135,15 +194,23 @@
     finish(request);
 }
 
+void RequestHandler::cutResponse(const Pending &request, const std::string &error)
+{
+    logEvent(Events::ResponseCut, "service {}: {}", request->traffic->route->document().service, error);
+    request->traffic->refusals(Reason::ResponseCut).add();
+    recordOutcome(*request, {Reason::ResponseCut, Outcome::Unknown, {}, 0});
+    request->exchange->abortResponse();
+    finish(request);
+}
+
 void RequestHandler::refuse(const Pending &request, const Refusal &refusal)
 {
-    if (request->traffic) {
-        request->traffic->refusals(refusal.reason).add();
-    } else {
-        traffic("").refusals(refusal.reason).add();
-    }
+    auto &counter = request->traffic ? request->traffic->refusals(refusal.reason)
+                                     : *m_unroutedRefusals[static_cast<std::size_t>(refusal.reason)];
+    counter.add();
     logEvent(Events::RequestRefused, "{} {}: {} {}", request->method, request->exchange->target(),
              reasonInfo(refusal.reason).code, refusal.detail);
+    recordOutcome(*request, refusal);
     request->exchange->respond(reasonInfo(refusal.reason).httpStatus, refusalHeaders(refusal),
                                toJsonText(refusal) + "\n");
     finish(request);
@@ -163,38 +230,29 @@
 
 void RequestHandler::handleGone(const Pending &request, bool)
 {
+    const auto keepAlive = request;
     if (request->finished) {
-        m_active.erase(request);
+        m_active.erase(keepAlive);
         return;
     }
-    if (request->attempt && (request->idempotent || request->streamsBody)) {
+    if (request->isQueued) {
+        request->traffic->admission.cancel(request->ticket);
+        request->traffic->queued.erase(request->ticket);
+        request->isQueued = false;
+    }
+    // A non-repeatable request runs to its end, so that its outcome can be recorded for a repeat.
+    const bool mayCancel = request->idempotent || request->streamsBody;
+    const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
+    if (request->attempt && mayCancel) {
         m_upstream.cancel(request->attempt);
         request->attempt = nullptr;
+        if (request->server != noServer) {
+            request->traffic->observations.finished(m_now, request->handle, {AttemptEnd::Cancelled, Duration(0), {}});
+        }
     }
     if (!request->attempt) {
-        finish(request);
-    }
-}
-
-void RequestHandler::scheduleResume(const Pending &request, bool isPaused)
-{
-    if (isPaused && request->attempt) {
-        m_toResume.push_back(request);
-    }
-}
-
-void RequestHandler::run(Instant now)
-{
-    m_now = now;
-    const auto list = std::move(m_toResume);
-    m_toResume.clear();
-    for (const auto &it : list) {
-        if (!it->attempt) {
-            continue;
-        }
-        it->sendingPaused = false;
-        it->receivingPaused = false;
-        m_upstream.resume(it->attempt);
+        recordOutcome(*request, {Reason::ConnectionLost, wasSent ? Outcome::Unknown : Outcome::NotRun, {}, 0});
+        finish(keepAlive);
     }
 }
 
--- /dev/null
+++ b/src/proxy/servicetraffic.cpp
@@ -0,0 +1,82 @@
+#include "servicetraffic_p.h"
+
+#include <fmt/format.h>
+
+namespace Galenarock
+{
+
+namespace
+{
+/// Requests of one daemon at an owner of a key, in multiples of the daemon's share of the slots. A key has no other
+/// server, and callers of a hot key do not spread evenly over the daemons, so one daemon may use the others' share;
+/// the server's own queue and shedding bound the rest.
+constexpr std::uint32_t KeyedShareFactor = 4;
+
+std::string serviceLabel(const ServiceDocument &document)
+{
+    return fmt::format("service=\"{}\"", document.service);
+}
+}
+
+ServiceTraffic::ServiceTraffic(Metrics &metrics, const ServiceDocument &document)
+    : fresh(metrics.counter("galenarock_requests_total", serviceLabel(document)))
+    , answered(metrics.counter("galenarock_answered_total", serviceLabel(document)))
+    , attempts(metrics.counter("galenarock_attempts_total", serviceLabel(document)))
+    , repeated(metrics.counter("galenarock_repeated_answers_total", serviceLabel(document)))
+    , latency(metrics.histogram("galenarock_request_seconds", serviceLabel(document)))
+    , admission(document, 1)
+    , budget(document.retry.budgetPercent)
+    , m_policy(defaultServerChoice())
+    , m_random(randomNonce())
+{
+    for (std::size_t n = 0; n < reasonCount(); ++n) {
+        const auto labels = fmt::format("{},reason=\"{}\"", serviceLabel(document), reasonAt(n).code);
+        m_refusals.push_back(&metrics.counter("galenarock_refusals_total", labels));
+        m_retries.push_back(&metrics.counter("galenarock_retries_total", labels));
+    }
+}
+
+void ServiceTraffic::refresh(Instant now, const std::shared_ptr<const RoutingSnapshot> &newest,
+                             std::uint32_t liveDaemons)
+{
+    if (snapshot == newest && m_liveDaemons == liveDaemons) {
+        return;
+    }
+    const auto *newRoute = newest->find(route ? std::string_view(route->document().service) : std::string_view());
+    if (route && !newRoute) {
+        return; // the document was removed; requests that are queued still run
+    }
+    snapshot = newest;
+    route = newRoute;
+    m_liveDaemons = liveDaemons;
+    const auto &document = route->document();
+    admission.configure(now, document, liveDaemons);
+    budget.setPercent(document.retry.budgetPercent);
+    observations.setServers(now, route->servers(), daemonShare(document.pool, liveDaemons));
+}
+
+Owner ServiceTraffic::choose(Instant now, const PendingRequest &request)
+{
+    if (route->document().distribution == Distribution::Keyed) {
+        return route->owner(request.hash, now);
+    }
+    const auto server = chooseServer(m_policy, observations.views(now), request.plan->tried(), m_random());
+    return {server, Token{}, server == noServer ? Reason::NoServer : Reason::None};
+}
+
+bool ServiceTraffic::hasRoom(Instant now, ServerIndex server)
+{
+    const auto &views = observations.views(now);
+    return server < views.size() && views[server].inFlight < views[server].limit * KeyedShareFactor;
+}
+
+std::uint32_t ServiceTraffic::concurrency(Instant now, ServerIndex owner)
+{
+    const auto &views = observations.views(now);
+    if (owner == noServer) {
+        return observations.concurrency();
+    }
+    return owner < views.size() ? views[owner].limit * KeyedShareFactor : 0;
+}
+
+}
