Add platform client and call budget

Cause: mandates, assignments, documents and the VM list are read and written through the object API, and 10,000 daemons share its 2,000 reads per second. Change: PlatformClient (libcurl multi thread) with the four write statuses, long-poll watches by kind, VM list polling; CallBudget as a pure core with priorities, back-off and jittered restart after an outage.

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -11,6 +11,7 @@
 #include <galenarock/peer.h>
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
+#include <galenarock/platformclient.h>
 #include <galenarock/requests.h>
 #include <galenarock/ring.h>
 #include <galenarock/thread.h>
--- /dev/null
+++ b/src/platform/events_p.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <galenarock/eventlog.h>
+
+/// Log events of the platform client (6xx).
+namespace Galenarock::Events
+{
+inline constexpr EventType PlatformUnreachable{601, Severity::Warning, "platform-unreachable"};
+inline constexpr EventType PlatformReachable{602, Severity::Info, "platform-reachable"};
+inline constexpr EventType PlatformMalformedAnswer{603, Severity::Error, "platform-malformed-answer"};
+inline constexpr EventType PlatformWriteRefused{604, Severity::Warning, "platform-write-refused"};
+inline constexpr EventType PlatformWriteUnknown{605, Severity::Warning, "platform-write-unknown"};
+inline constexpr EventType PlatformBudgetExceeded{606, Severity::Warning, "platform-budget-exceeded"};
+inline constexpr EventType PlatformRepeatPrevented{607, Severity::Warning, "platform-repeat-prevented"};
+}
--- /dev/null
+++ b/src/platform/platformclient.cpp
@@ -0,0 +1,500 @@
+#include <galenarock/platformclient.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+
+#include <fmt/format.h>
+
+#include <galenarock/ring.h>
+#include <galenarock/thread.h>
+
+#include "platform/answers_p.h"
+#include "platform/events_p.h"
+
+namespace Galenarock
+{
+
+namespace
+{
+/// Requests of one priority that may wait for budget.
+constexpr std::size_t queueBound = 512;
+/// Wait between two looks at the budget while requests are queued.
+constexpr int busyWaitMs = 10;
+constexpr int idleWaitMs = 100;
+/// Pause after a failed watch; the budget's back-off comes on top.
+constexpr Duration watchRetryDelay = milliseconds(200);
+
+/// A read repeats harmlessly, so a GET whose reused connection was closed under it is not an outage.
+bool isAnswered(const HttpCall &call)
+{
+    return call.isAnswered() || (call.isRepeatPrevented && call.kind != CallKind::Write);
+}
+
+struct PendingCall
+{
+    std::unique_ptr<HttpCall> call;
+    Instant queuedAt;
+};
+
+struct WatchState
+{
+    bool isWanted = false;
+    bool needsList = true;
+    HttpCall *inFlight = nullptr;
+    std::uint64_t revision = 0;
+    Instant nextAt;
+    Instant listedAt;
+};
+}
+
+class PlatformClient::Private
+{
+public:
+    Private(PlatformClientSettings settings, Metrics &metrics, Handler handler);
+    ~Private();
+
+    bool submit(PlatformRequest request);
+    void wake()
+    {
+        curl_multi_wakeup(m_multi);
+    }
+
+    std::mutex m_wantedMutex; ///< Guards m_wanted.
+    std::map<std::string, bool> m_wanted;
+    std::atomic<std::int64_t> m_vmListInterval;
+    std::atomic<std::size_t> m_daemons{1};
+    std::atomic<bool> m_isReachable{true};
+
+private:
+    void run();
+    void takeRequests(Instant now);
+    void enqueue(std::unique_ptr<HttpCall> call, CallPriority priority, Instant now);
+    void expireQueued(Instant now);
+    void startQueued(Instant now);
+    void applyWanted(Instant now);
+    void startWatches(Instant now);
+    void startVmList(Instant now);
+    void start(std::unique_ptr<HttpCall> call);
+    void finishCalls();
+    void finish(HttpCall &call);
+    void cancel(HttpCall &call);
+    bool hasQueued() const;
+
+    void onRead(const HttpCall &call);
+    void onWrite(const HttpCall &call);
+    void onObjects(const HttpCall &call);
+    void onVmList(const HttpCall &call);
+    void malformed(const HttpCall &call, ErrorCode code, const std::string &detail);
+    void endUnsent(const HttpCall &call);
+    void count(const HttpCall &call);
+    void reportReachability(Instant now, const HttpCall &call);
+
+    const PlatformClientSettings m_settings;
+    Metrics &m_metrics;
+    const Handler m_handler;
+    CURLM *m_multi;
+    std::mutex m_submitMutex; ///< Orders the producers of m_ring; held for one push.
+    Ring<std::shared_ptr<PlatformRequest>> m_ring;
+    std::atomic<bool> m_stop{false};
+
+    CallBudget m_budget;
+    std::array<std::deque<PendingCall>, 4> m_queues;
+    std::map<CURL *, std::unique_ptr<HttpCall>> m_calls;
+    std::map<std::string, WatchState> m_watches;
+    bool m_isVmListInFlight = false;
+    Instant m_nextVmListAt;
+    std::string m_vmListText;
+    VmList m_vmList;
+    Thread m_thread; ///< Last member: the thread uses all others.
+};
+
+PlatformClient::Private::Private(PlatformClientSettings settings, Metrics &metrics, Handler handler)
+    : m_vmListInterval(settings.vmListInterval.count())
+    , m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_handler(std::move(handler))
+    , m_multi(curl_multi_init())
+    , m_ring(m_settings.ringCapacity)
+    , m_budget(m_settings.budget)
+{
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 8L);
+    m_thread = Thread("platform", [this] { run(); });
+}
+
+PlatformClient::Private::~Private()
+{
+    m_stop.store(true);
+    wake();
+    m_thread.join();
+    for (const auto &[easy, call] : m_calls) {
+        curl_multi_remove_handle(m_multi, easy);
+    }
+    m_calls.clear();
+    curl_multi_cleanup(m_multi);
+}
+
+bool PlatformClient::Private::submit(PlatformRequest request)
+{
+    {
+        const std::lock_guard lock(m_submitMutex);
+        if (!m_ring.tryPush(std::make_shared<PlatformRequest>(std::move(request)))) {
+            m_metrics.counter("galenarock_platform_dropped_total", "reason=\"ring-full\"").add();
+            return false;
+        }
+    }
+    wake();
+    return true;
+}
+
+void PlatformClient::Private::run()
+{
+    while (!m_stop.load()) {
+        const auto now = MonotonicClock::now();
+        m_budget.setDaemons(m_daemons.load());
+        takeRequests(now);
+        expireQueued(now);
+        startQueued(now);
+        applyWanted(now);
+        startWatches(now);
+        startVmList(now);
+        int running = 0;
+        curl_multi_perform(m_multi, &running);
+        finishCalls();
+        curl_multi_poll(m_multi, nullptr, 0, hasQueued() ? busyWaitMs : idleWaitMs, nullptr);
+    }
+}
+
+void PlatformClient::Private::takeRequests(Instant now)
+{
+    std::shared_ptr<PlatformRequest> request;
+    while (m_ring.tryPop(request)) {
+        const auto priority = std::visit([](const auto &it) { return it.priority; }, *request);
+        enqueue(makeCall(m_settings, *request), priority, now);
+    }
+}
+
+void PlatformClient::Private::enqueue(std::unique_ptr<HttpCall> call, CallPriority priority, Instant now)
+{
+    auto &queue = m_queues[static_cast<std::size_t>(priority)];
+    if (call->kind != CallKind::Write) {
+        for (const auto &it : queue) {
+            if (it.call->kind == call->kind && it.call->key == call->key) {
+                return; // the same read is waiting already
+            }
+        }
+    }
+    if (queue.size() >= queueBound) {
+        endUnsent(*call);
+        return;
+    }
+    queue.push_back({std::move(call), now});
+}
+
+void PlatformClient::Private::expireQueued(Instant now)
+{
+    for (auto &queue : m_queues) {
+        while (!queue.empty() && now - queue.front().queuedAt > m_settings.queueTimeout) {
+            endUnsent(*queue.front().call);
+            queue.pop_front();
+        }
+    }
+}
+
+/// Ends a request that never left this process.
+void PlatformClient::Private::endUnsent(const HttpCall &call)
+{
+    m_metrics.counter("galenarock_platform_dropped_total", "reason=\"budget\"").add();
+    logEvent(Events::PlatformBudgetExceeded, "{} {}/{} was not sent: no call budget", nameOf(call.kind), call.key.kind,
+             call.key.name);
+    if (call.kind != CallKind::Write) {
+        return;
+    }
+    m_handler(WriteResultEvent{call.key, call.write.writer, MonotonicClock::now(), WriteStatus::NotSent, {}});
+}
+
+void PlatformClient::Private::startQueued(Instant now)
+{
+    for (std::size_t n = 0; n < m_queues.size(); ++n) {
+        auto &queue = m_queues[n];
+        while (!queue.empty()) {
+            const auto type = queue.front().call->kind == CallKind::Write ? CallType::Write : CallType::Read;
+            if (!m_budget.tryTake(now, static_cast<CallPriority>(n), type)) {
+                break;
+            }
+            start(std::move(queue.front().call));
+            queue.pop_front();
+        }
+    }
+}
+
+bool PlatformClient::Private::hasQueued() const
+{
+    for (const auto &it : m_queues) {
+        if (!it.empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void PlatformClient::Private::applyWanted(Instant now)
+{
+    const std::lock_guard lock(m_wantedMutex);
+    for (const auto &[kind, isWanted] : m_wanted) {
+        auto &state = m_watches[kind];
+        if (state.isWanted == isWanted) {
+            continue;
+        }
+        if (!isWanted && state.inFlight != nullptr) {
+            cancel(*state.inFlight);
+        }
+        state = WatchState();
+        state.isWanted = isWanted;
+        state.nextAt = now;
+    }
+}
+
+void PlatformClient::Private::startWatches(Instant now)
+{
+    for (auto &[kind, state] : m_watches) {
+        if (!state.isWanted || state.inFlight != nullptr || now < state.nextAt) {
+            continue;
+        }
+        state.needsList = state.needsList || now - state.listedAt > m_settings.relistInterval;
+        if (!m_budget.tryTake(now, CallPriority::Configuration, CallType::Read)) {
+            state.nextAt = now + milliseconds(busyWaitMs);
+            continue;
+        }
+        auto call = state.needsList ? makeWatchList(m_settings, kind) : makeWatchPoll(m_settings, kind, state.revision);
+        if (state.needsList) {
+            state.listedAt = now;
+        }
+        state.inFlight = call.get();
+        start(std::move(call));
+    }
+}
+
+void PlatformClient::Private::startVmList(Instant now)
+{
+    const Duration interval(m_vmListInterval.load());
+    if (interval == Duration::zero() || m_isVmListInFlight || now < m_nextVmListAt) {
+        return;
+    }
+    if (!m_budget.tryTake(now, CallPriority::Configuration, CallType::Read)) {
+        m_nextVmListAt = now + milliseconds(busyWaitMs);
+        return;
+    }
+    m_nextVmListAt = now + interval;
+    m_isVmListInFlight = true;
+    start(makeVmListCall(m_settings));
+}
+
+void PlatformClient::Private::start(std::unique_ptr<HttpCall> call)
+{
+    auto *easy = call->handle();
+    m_calls[easy] = std::move(call);
+    curl_multi_add_handle(m_multi, easy);
+}
+
+void PlatformClient::Private::cancel(HttpCall &call)
+{
+    curl_multi_remove_handle(m_multi, call.handle());
+    m_budget.abandon();
+    m_calls.erase(call.handle());
+}
+
+void PlatformClient::Private::finishCalls()
+{
+    int left = 0;
+    while (const auto *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        auto *easy = message->easy_handle;
+        auto &call = *m_calls.at(easy);
+        call.setResult(message->data.result);
+        curl_multi_remove_handle(m_multi, easy);
+        finish(call);
+        m_calls.erase(easy);
+    }
+}
+
+void PlatformClient::Private::count(const HttpCall &call)
+{
+    std::string result = call.code == CURLE_OK ? std::to_string(call.status) : "failed";
+    const auto labels = fmt::format("kind=\"{}\",result=\"{}\"", nameOf(call.kind), result);
+    m_metrics.counter("galenarock_platform_calls_total", labels).add();
+    if (!call.isRepeatPrevented) {
+        return;
+    }
+    m_metrics.counter("galenarock_platform_repeats_prevented_total").add();
+    logEvent(Events::PlatformRepeatPrevented, "{} {}/{}", nameOf(call.kind), call.key.kind, call.key.name);
+}
+
+void PlatformClient::Private::reportReachability(Instant now, const HttpCall &call)
+{
+    const bool wasOutage = m_budget.inOutage();
+    m_budget.finish(now, isAnswered(call));
+    m_isReachable.store(!m_budget.inOutage());
+    if (m_budget.inOutage() == wasOutage) {
+        return;
+    }
+    if (wasOutage) {
+        logEvent(Events::PlatformReachable, "calls are answered again");
+        return;
+    }
+    logEvent(Events::PlatformUnreachable, "{}: {}, HTTP status {}", nameOf(call.kind), curl_easy_strerror(call.code),
+             call.status);
+}
+
+void PlatformClient::Private::finish(HttpCall &call)
+{
+    reportReachability(MonotonicClock::now(), call);
+    count(call);
+    switch (call.kind) {
+    case CallKind::Read:
+        onRead(call);
+        break;
+    case CallKind::Write:
+        onWrite(call);
+        break;
+    case CallKind::List:
+    case CallKind::Watch:
+        onObjects(call);
+        break;
+    case CallKind::VmList:
+        onVmList(call);
+        break;
+    }
+}
+
+void PlatformClient::Private::malformed(const HttpCall &call, ErrorCode code, const std::string &detail)
+{
+    m_metrics.counter("galenarock_platform_malformed_total").add();
+    logEvent(Events::PlatformMalformedAnswer, "{} {}/{}: {}: {}", nameOf(call.kind), call.key.kind, call.key.name,
+             errorMessage(code), detail);
+}
+
+void PlatformClient::Private::onRead(const HttpCall &call)
+{
+    if (call.code == CURLE_OK && call.status == 404) {
+        m_handler(ObjectMissingEvent{call.key});
+    }
+    if (!call.isOk()) {
+        return;
+    }
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(object, storedObjectOf(call.response));
+            m_handler(ObjectEvent{std::move(object), true});
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) { malformed(call, code, detail); });
+}
+
+void PlatformClient::Private::onWrite(const HttpCall &call)
+{
+    auto event = writeResultOf(call);
+    if (event.status == WriteStatus::Unknown) {
+        logEvent(Events::PlatformWriteUnknown, "{}/{}: {}, HTTP status {}", call.key.kind, call.key.name,
+                 curl_easy_strerror(call.code), call.status);
+    } else if (event.status == WriteStatus::NotSent && call.isSent) {
+        logEvent(Events::PlatformWriteRefused, "{}/{}: HTTP status {}: {}", call.key.kind, call.key.name, call.status,
+                 call.response.substr(0, 120));
+    }
+    m_handler(std::move(event));
+}
+
+void PlatformClient::Private::onObjects(const HttpCall &call)
+{
+    const auto watch = call.kind == CallKind::Watch ? m_watches.find(call.key.kind) : m_watches.end();
+    if (watch != m_watches.end()) {
+        watch->second.inFlight = nullptr;
+        watch->second.nextAt = MonotonicClock::now() + (call.isOk() ? Duration::zero() : watchRetryDelay);
+    }
+    if (!call.isOk()) {
+        return;
+    }
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(list, objectListOf(call.response));
+            if (watch != m_watches.end()) {
+                // A revision that falls means that the platform answered from an old copy: list again.
+                watch->second.needsList = list.revision < watch->second.revision;
+                watch->second.revision = list.revision;
+            }
+            for (auto &it : list.items) {
+                m_handler(ObjectEvent{std::move(it), true});
+            }
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) {
+            malformed(call, code, detail);
+            if (watch != m_watches.end()) {
+                watch->second.needsList = true;
+                watch->second.nextAt = MonotonicClock::now() + watchRetryDelay;
+            }
+        });
+}
+
+void PlatformClient::Private::onVmList(const HttpCall &call)
+{
+    m_isVmListInFlight = false;
+    if (!call.isOk()) {
+        return;
+    }
+    // Parsing 10,000 entries takes milliseconds, and the list rarely changes.
+    if (call.response == m_vmListText) {
+        m_handler(VmListEvent{m_vmList});
+        return;
+    }
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(m_vmList, vmListOf(call.response));
+            m_vmListText = call.response;
+            m_handler(VmListEvent{m_vmList});
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) { malformed(call, code, detail); });
+}
+
+PlatformClient::PlatformClient(PlatformClientSettings settings, Metrics &metrics, Handler handler)
+    : m_data(std::make_unique<Private>(std::move(settings), metrics, std::move(handler)))
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+bool PlatformClient::submit(PlatformRequest request)
+{
+    return m_data->submit(std::move(request));
+}
+
+void PlatformClient::setWatch(const std::string &kind, bool isWanted)
+{
+    {
+        const std::lock_guard lock(m_data->m_wantedMutex);
+        m_data->m_wanted[kind] = isWanted;
+    }
+    m_data->wake();
+}
+
+void PlatformClient::setVmListInterval(Duration interval)
+{
+    m_data->m_vmListInterval.store(interval.count());
+    m_data->wake();
+}
+
+void PlatformClient::setDaemons(std::size_t count)
+{
+    m_data->m_daemons.store(count);
+}
+
+bool PlatformClient::isReachable() const
+{
+    return m_data->m_isReachable.load();
+}
+
+}
--- /dev/null
+++ b/src/platform/tests/platformclienttest.cpp
@@ -0,0 +1,243 @@
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+#include <galenarock/platformclient.h>
+
+#include "platform/tests/scriptedserver_p.h"
+
+using namespace Galenarock;
+
+namespace
+{
+/// Client against a scripted server; waits for events without a time limit of its own.
+class Fixture
+{
+public:
+    explicit Fixture(ScriptedServer::Script script)
+        : server(std::move(script))
+        , client(settings(server.endpoint()), metrics, [this](ControlEvent event) { onEvent(std::move(event)); })
+    {
+    }
+    static PlatformClientSettings settings(const std::string &endpoint)
+    {
+        PlatformClientSettings result;
+        result.endpoint = endpoint;
+        result.vmListInterval = Duration::zero();
+        result.budget.firstBackOff = milliseconds(1);
+        result.budget.longestBackOff = milliseconds(2);
+        return result;
+    }
+    template<typename Event> Event next()
+    {
+        std::unique_lock lock(m_mutex);
+        for (;;) {
+            for (auto it = m_events.begin(); it != m_events.end(); ++it) {
+                if (auto *event = std::get_if<Event>(&*it)) {
+                    auto result = std::move(*event);
+                    m_events.erase(it);
+                    return result;
+                }
+            }
+            m_changed.wait(lock);
+        }
+    }
+    WriteResultEvent write(std::uint64_t expected = 0)
+    {
+        client.submit(WriteObjectAction{{"mandate", "vitrina"}, expected, 77, {{"x", 1}}, CallPriority::Mandate});
+        return next<WriteResultEvent>();
+    }
+
+    Metrics metrics;
+    ScriptedServer server;
+
+private:
+    void onEvent(ControlEvent event)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_events.push_back(std::move(event));
+        m_changed.notify_all();
+    }
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<ControlEvent> m_events;
+
+public:
+    PlatformClient client;
+};
+
+const std::string object = R"({"kind":"mandate","name":"vitrina","version":4,"writer":"9","value":{"y":2}})";
+}
+
+// Guards against a write outcome that claims more or less than is known: the callers' guarantees rest on it.
+TEST(PlatformClient, writeStatuses)
+{
+    std::atomic<int> step{0};
+    Fixture fixture([&](const std::string &) -> std::optional<std::string> {
+        switch (step++) {
+        case 0:
+            return ScriptedServer::response(200, "{\"version\":5}");
+        case 1:
+            return ScriptedServer::response(409, "{\"error\":\"conflict\",\"current\":" + object + "}");
+        case 2:
+            return ScriptedServer::response(429, "{\"error\":\"rate-limited\"}");
+        case 3:
+            return ScriptedServer::response(503, "");
+        case 4:
+            return ScriptedServer::response(500, "");
+        default:
+            return ScriptedServer::response(200, "damaged");
+        }
+    });
+    const auto applied = fixture.write(4);
+    EXPECT_EQ(applied.status, WriteStatus::Applied);
+    EXPECT_EQ(applied.current.version, 5u);
+    EXPECT_EQ(applied.writer, 77u);
+    const auto conflict = fixture.write(4);
+    EXPECT_EQ(conflict.status, WriteStatus::Conflict);
+    EXPECT_EQ(conflict.current.writer, 9u);
+    EXPECT_EQ(fixture.write().status, WriteStatus::NotSent);
+    EXPECT_EQ(fixture.write().status, WriteStatus::NotSent);
+    EXPECT_EQ(fixture.write().status, WriteStatus::Unknown);
+    EXPECT_EQ(fixture.write().status, WriteStatus::Unknown);
+}
+
+// Guards against libcurl's own repetition of a PUT on a reused connection, which would write twice.
+TEST(PlatformClient, lostConnectionIsUnknownAndNeverRepeated)
+{
+    std::atomic<int> requests{0};
+    Fixture fixture([&](const std::string &) -> std::optional<std::string> {
+        if (requests++ == 0) {
+            return ScriptedServer::response(200, "{\"version\":1}");
+        }
+        return {};
+    });
+    EXPECT_EQ(fixture.write().status, WriteStatus::Applied);
+    EXPECT_EQ(fixture.write(1).status, WriteStatus::Unknown);
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(fixture.metrics.counter("galenarock_platform_repeats_prevented_total").value(), 1u);
+}
+
+// Guards against reporting Unknown for a write that cannot have reached the platform.
+TEST(PlatformClient, refusedConnectionIsNotSent)
+{
+    std::string endpoint;
+    {
+        const ScriptedServer closed([](const std::string &) { return std::nullopt; });
+        endpoint = closed.endpoint();
+    }
+    Metrics metrics;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::optional<WriteResultEvent> result;
+    PlatformClient client(Fixture::settings(endpoint), metrics, [&](const ControlEvent &event) {
+        const std::lock_guard lock(mutex);
+        result = std::get<WriteResultEvent>(event);
+        changed.notify_all();
+    });
+    client.submit(WriteObjectAction{{"mandate", "vitrina"}, 0, 1, {}, CallPriority::Mandate});
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [&] { return result.has_value(); });
+    EXPECT_EQ(result->status, WriteStatus::NotSent);
+    EXPECT_FALSE(client.isReachable());
+}
+
+// Guards against watches that skip changes between the list and the first poll, and against lost VM entries.
+TEST(PlatformClient, readsWatchesAndVmList)
+{
+    Fixture fixture([&](const std::string &request) -> std::optional<std::string> {
+        const auto path = request.substr(4, request.find(' ', 4) - 4);
+        if (path == "/v1/objects/mandate/none") {
+            return ScriptedServer::response(404, "");
+        }
+        if (path == "/v1/objects/service") {
+            return ScriptedServer::response(200, R"({"revision":7,"items":[]})");
+        }
+        if (path == "/v1/watch?kind=service&since=7&timeoutMs=20000") {
+            return ScriptedServer::response(
+                200, R"({"revision":8,"items":[{"kind":"service","name":"a","version":2,"writer":"1","value":{}}]})");
+        }
+        if (path == "/v1/vms") {
+            return ScriptedServer::response(200, R"({"revision":3,"vms":[{"name":"vm-1","role":"entry",
+                "failureDomain":"rioja","address":"127.0.0.1:1","peerAddress":"127.0.0.1:2","state":"leaving"}]})");
+        }
+        return ScriptedServer::response(503, "");
+    });
+    fixture.client.submit(ReadObjectAction{{"mandate", "none"}, CallPriority::Mandate});
+    EXPECT_EQ(fixture.next<ObjectMissingEvent>().key.name, "none");
+    fixture.client.setVmListInterval(milliseconds(1));
+    const auto vms = fixture.next<VmListEvent>().list;
+    EXPECT_EQ(vms.vms.at(0).state, VmState::Leaving);
+    EXPECT_EQ(vms.vms.at(0).failureDomain, "rioja");
+    fixture.client.setWatch("service", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 2u);
+    fixture.client.setWatch("service", false);
+}
+
+// Guards against status writes that use up the calls which mandates need.
+TEST(CallBudget, lowPrioritiesLeaveAReserve)
+{
+    CallBudget budget({});
+    const Instant now{seconds(100)};
+    std::array<int, 4> made{};
+    for (const auto it :
+         {CallPriority::Status, CallPriority::Configuration, CallPriority::Grant, CallPriority::Mandate}) {
+        while (budget.tryTake(now, it, CallType::Write)) {
+            ++made[static_cast<std::size_t>(it)];
+        }
+    }
+    for (const auto it : made) {
+        EXPECT_GT(it, 0);
+    }
+    EXPECT_FALSE(budget.tryTake(now, CallPriority::Mandate, CallType::Write));
+    EXPECT_TRUE(budget.tryTake(now, CallPriority::Status, CallType::Read));
+}
+
+namespace
+{
+/// Most calls in one second that `daemons` make after an outage of 30 s, each with more to ask than its budget allows.
+std::size_t peakAfterOutage(std::size_t daemons)
+{
+    std::vector<CallBudget> budgets;
+    const Instant start{seconds(100)};
+    for (std::size_t n = 0; n < daemons; ++n) {
+        CallBudgetSettings settings;
+        settings.seed = n;
+        auto &budget = budgets.emplace_back(settings);
+        budget.setDaemons(daemons);
+        EXPECT_TRUE(budget.tryTake(start, CallPriority::Status, CallType::Read));
+        budget.finish(start, false);
+        EXPECT_FALSE(budget.tryTake(start, CallPriority::Mandate, CallType::Read));
+    }
+    std::size_t peak = 0;
+    for (Instant second = start; second < start + seconds(150); second += seconds(1)) {
+        std::size_t calls = 0;
+        const bool isUp = second > start + seconds(30);
+        for (Instant now = second; now < second + seconds(1); now += milliseconds(100)) {
+            for (auto &it : budgets) {
+                if (!it.tryTake(now, CallPriority::Status, CallType::Read)) {
+                    continue;
+                }
+                it.finish(now, isUp);
+                ++calls;
+            }
+        }
+        // The first 20 s are the beginning of the outage, when the back-off still grows.
+        peak = std::max(peak, second < start + seconds(20) ? 0 : calls);
+    }
+    EXPECT_FALSE(budgets.front().inOutage());
+    return peak;
+}
+}
+
+// Guards against a stampede: daemons that meet an outage and its end together must stay below the platform's 2,000
+// reads per second.
+TEST(CallBudget, daemonsSpreadAfterAnOutage)
+{
+    for (const std::size_t it : {1'000, 10'000}) {
+        const auto peak = peakAfterOutage(it);
+        EXPECT_LE(peak, 2'000u) << it << " daemons";
+        EXPECT_GT(peak, 0u);
+    }
+}
