--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -16,6 +16,7 @@
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
 #include <galenarock/proxy.h>
+#include <galenarock/platformclient.h>
 #include <galenarock/requests.h>
 #include <galenarock/retry.h>
 #include <galenarock/ring.h>
