Add server choice, admission, retries, crash suspects and request ledger

Change: ServerObservations with holds, probes, slow start and panic rule; four choice policies; Admission with queue, deadlines, fixed limit and recent-use guard; RetryBudget and AttemptPlan; CrashSuspects; RequestLedger and KeeperMap. The service time estimate halves every 2 s without an answer: an estimate above the deadline would otherwise refuse every request and never be corrected. A request is not tried on a third server after two lost connections, because confirmation of a crash (new boot number) takes longer than a retry. Ruled out: evicting ledger entries at the bound (an evicted id could run twice; new ids are refused as not-run instead); counting unconfirmed connection losses as crashes (a network fault would refuse popular reads).

--- a/include/galenarock/admission.h
+++ b/include/galenarock/admission.h
@@ -127,17 +127,19 @@
     /// The caller went away. False when the request is not queued.
     bool cancel(std::uint64_t ticket);
     /// Service time of an answered request, first attempt to last byte.
-    void finished(Duration serviceTime);
+    void finished(Instant now, Duration serviceTime);
 
-    /// Exponentially weighted mean; zero before the first answer.
-    Duration serviceTime() const;
+    /// Exponentially weighted mean; zero before the first answer. Halves every 2 s without an answer: otherwise an
+    /// estimate above the deadline would refuse every request and never be corrected.
+    Duration serviceTime(Instant now) const;
     std::size_t queued() const
     {
         return m_queue.size();
     }
 
 private:
-    Duration expectedWait(std::size_t position, const AdmissionRequest &request, std::uint32_t concurrency) const;
+    Duration expectedWait(Instant now, std::size_t position, const AdmissionRequest &request,
+                          std::uint32_t concurrency) const;
     std::size_t positionFor(const AdmissionRequest &request) const;
     std::optional<Refusal> checkRates(Instant now);
     bool isLate(Instant now, const AdmissionRequest &request) const;
@@ -147,6 +149,7 @@
     RecentUseGuard m_guard;
     std::vector<AdmissionRequest> m_queue;
     double m_serviceSeconds = 0;
+    Instant m_servedAt{};
 };
 
 }
--- a/include/galenarock/retry.h
+++ b/include/galenarock/retry.h
@@ -69,11 +69,11 @@
 
 /// The attempts of one request.
 ///
-/// Example: `AttemptPlan plan(document.retry, idempotent, deadline); auto d = plan.failed(now, report, budget, t, r);`
+/// Example: `AttemptPlan plan(document, "GET", deadline); const auto d = plan.failed(now, report, budget, t, random);`
 class AttemptPlan
 {
 public:
-    AttemptPlan(const RetrySettings &settings, bool idempotent, Instant deadline);
+    AttemptPlan(const ServiceDocument &document, std::string_view method, Instant deadline);
 
     /// Call when an attempt is sent.
     void started();
@@ -105,6 +105,7 @@
 
     RetrySettings m_settings;
     bool m_idempotent;
+    bool m_mayHedge;
     Instant m_deadline;
     std::uint32_t m_attempts = 0;
     /// Attempts whose connection was lost after bytes were sent.
--- a/include/galenarock/suspects.h
+++ b/include/galenarock/suspects.h
@@ -65,7 +65,7 @@
     /// Distinct crashed servers after which a fingerprint is refused.
     std::uint32_t serversToRefuse = 2;
     /// Time within which a new boot number confirms a crash; a server restarts within seconds.
-    Duration confirmWithin = seconds(60);
+    Duration confirmWithin = seconds(30);
     /// Suspicion ends after this time, counted from the last crash.
     Duration lifetime = seconds(600);
     std::size_t maxEntries = 4'096;
@@ -120,6 +120,12 @@
         LostRequest lost;
         Instant expiresAt{};
     };
+    struct KnownBoot
+    {
+        std::uint64_t boot = 0;
+        Instant seenAt{};
+    };
+    std::uint64_t knownBoot(const std::string &server) const;
     Suspect *suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller);
     std::optional<SuspectReport> confirm(Instant now, const LostRequest &lost);
     void erase(Fingerprint fingerprint);
@@ -129,7 +135,7 @@
     std::unordered_map<Fingerprint, Suspect> m_suspects;
     std::unordered_map<std::uint64_t, std::size_t> m_perCaller;
     std::vector<Pending> m_pending;
-    std::map<std::string, std::uint64_t> m_boots;
+    std::map<std::string, KnownBoot> m_boots;
 };
 
 }
--- /dev/null
+++ b/src/requests/suspects.cpp
@@ -0,0 +1,251 @@
+#include <galenarock/suspects.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
+#include <fmt/format.h>
+
+namespace Galenarock
+{
+
+template<typename Archive> static void serialize(Archive &archive, SuspectReport &report)
+{
+    archive(report.fingerprint, report.caller, report.servers, report.cleared);
+}
+
+namespace
+{
+/// Adds `server` unless it is present or there is no place. True when it was added.
+bool addServer(std::array<std::uint64_t, SuspectReport::maxServers> &servers, std::uint64_t server)
+{
+    for (auto &it : servers) {
+        if (it == server) {
+            return false;
+        }
+        if (it == 0) {
+            it = server;
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t countServers(const std::array<std::uint64_t, SuspectReport::maxServers> &servers)
+{
+    return servers.size() - static_cast<std::size_t>(std::count(servers.begin(), servers.end(), 0U));
+}
+
+/// Hash of a name; 0 is reserved for unused places.
+std::uint64_t nameHash(const std::string &name)
+{
+    return std::max<std::uint64_t>(1, hashKey(name));
+}
+}
+
+Fingerprint requestFingerprint(std::string_view service, std::string_view method, std::string_view path,
+                               std::string_view bodyPrefix, std::string_view requestId)
+{
+    const auto content = requestId.empty() ? bodyPrefix.substr(0, fingerprintBodyBytes) : requestId;
+    // Lengths separate the parts, so that "a" + "bc" differs from "ab" + "c".
+    return hashKey(fmt::format("{} {} {} {} {} {} {}", service.size(), service, method.size(), method, path.size(),
+                               path, toHex(hashKey(content))));
+}
+
+std::string encode(const SuspectReport &report)
+{
+    std::ostringstream buf;
+    auto copy = report;
+    cereal::PortableBinaryOutputArchive archive(buf);
+    archive(copy);
+    return buf.str();
+}
+
+Result<SuspectReport> decodeSuspectReport(const std::string &payload)
+{
+    SuspectReport report;
+    if (payload.size() != encode(report).size()) {
+        return fail(ErrorCode::MalformedMessage, "suspect report has the wrong size");
+    }
+    std::istringstream buf(payload);
+    try {
+        cereal::PortableBinaryInputArchive archive(buf);
+        archive(report);
+    } catch (const cereal::Exception &e) {
+        return fail(ErrorCode::MalformedMessage, e.what());
+    }
+    return report;
+}
+
+CrashSuspects::CrashSuspects(SuspectSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::uint64_t CrashSuspects::knownBoot(const std::string &server) const
+{
+    const auto it = m_boots.find(server);
+    return it == m_boots.end() ? 0 : it->second.boot;
+}
+
+void CrashSuspects::erase(Fingerprint fingerprint)
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end()) {
+        return;
+    }
+    const auto caller = m_perCaller.find(it->second.caller);
+    if (caller != m_perCaller.end() && --caller->second == 0) {
+        m_perCaller.erase(caller);
+    }
+    m_suspects.erase(it);
+}
+
+void CrashSuspects::evictOldest()
+{
+    if (m_suspects.empty()) {
+        return;
+    }
+    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &a, const auto &b) {
+        return a.second.expiresAt < b.second.expiresAt;
+    });
+    erase(oldest->first);
+}
+
+CrashSuspects::Suspect *CrashSuspects::suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller)
+{
+    const auto known = m_suspects.find(fingerprint);
+    if (known != m_suspects.end()) {
+        known->second.expiresAt = now + m_settings.lifetime;
+        return &known->second;
+    }
+    const auto n = m_perCaller.find(caller);
+    if (n != m_perCaller.end() && n->second >= m_settings.maxPerCaller) {
+        return nullptr;
+    }
+    if (m_suspects.size() >= m_settings.maxEntries) {
+        evictOldest();
+    }
+    ++m_perCaller[caller];
+    return &m_suspects.emplace(fingerprint, Suspect{caller, {}, now + m_settings.lifetime}).first->second;
+}
+
+std::optional<SuspectReport> CrashSuspects::confirm(Instant now, const LostRequest &lost)
+{
+    auto *suspect = suspectFor(now, lost.fingerprint, lost.caller);
+    if (!suspect || !addServer(suspect->servers, nameHash(lost.server))) {
+        return {};
+    }
+    return SuspectReport{lost.fingerprint, suspect->caller, suspect->servers, false};
+}
+
+std::vector<SuspectReport> CrashSuspects::connectionLost(Instant now, const LostRequest &lost)
+{
+    const auto known = knownBoot(lost.server);
+    auto pending = lost;
+    pending.boot = lost.boot != 0 ? lost.boot : known;
+    if (pending.boot == 0) {
+        // Without an earlier boot number a restart cannot be told from a broken connection.
+        return {};
+    }
+    if (known != 0 && known != pending.boot) {
+        const auto report = confirm(now, pending);
+        return report ? std::vector{*report} : std::vector<SuspectReport>();
+    }
+    if (m_pending.size() >= m_settings.maxEntries) {
+        m_pending.erase(m_pending.begin());
+    }
+    m_pending.push_back({std::move(pending), now + m_settings.confirmWithin});
+    return {};
+}
+
+std::vector<SuspectReport> CrashSuspects::bootSeen(Instant now, const std::string &server, std::uint64_t boot)
+{
+    m_boots[server] = {boot, now};
+    std::vector<SuspectReport> reports;
+    const auto isConfirmed = [&](const Pending &it) {
+        return it.lost.server == server && it.lost.boot != boot && now < it.expiresAt;
+    };
+    for (const auto &it : m_pending) {
+        if (!isConfirmed(it)) {
+            continue;
+        }
+        if (auto report = confirm(now, it.lost)) {
+            reports.push_back(*report);
+        }
+    }
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isConfirmed), m_pending.end());
+    return reports;
+}
+
+std::vector<SuspectReport> CrashSuspects::succeeded(Instant /*now*/, Fingerprint fingerprint)
+{
+    if (!m_pending.empty()) {
+        const auto isSame = [&](const Pending &it) {
+            return it.lost.fingerprint == fingerprint;
+        };
+        m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isSame), m_pending.end());
+    }
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end()) {
+        return {};
+    }
+    SuspectReport report{fingerprint, it->second.caller, it->second.servers, true};
+    erase(fingerprint);
+    return {report};
+}
+
+void CrashSuspects::reportReceived(Instant now, const SuspectReport &report)
+{
+    if (report.cleared) {
+        erase(report.fingerprint);
+        return;
+    }
+    auto *suspect = suspectFor(now, report.fingerprint, report.caller);
+    if (!suspect) {
+        return;
+    }
+    for (const auto it : report.servers) {
+        if (it != 0) {
+            addServer(suspect->servers, it);
+        }
+    }
+}
+
+std::optional<Refusal> CrashSuspects::refusalFor(Instant now, Fingerprint fingerprint) const
+{
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end() || now >= it->second.expiresAt) {
+        return {};
+    }
+    const auto servers = countServers(it->second.servers);
+    if (servers < m_settings.serversToRefuse) {
+        return {};
+    }
+    const auto until = duration_cast<milliseconds>(it->second.expiresAt - now).count();
+    return Refusal{Reason::CrashSuspect, reasonInfo(Reason::CrashSuspect).outcome,
+                   fmt::format("the same request was in flight when {} backend servers crashed", servers), until};
+}
+
+void CrashSuspects::expire(Instant now)
+{
+    std::vector<Fingerprint> expired;
+    for (const auto &it : m_suspects) {
+        if (now >= it.second.expiresAt) {
+            expired.push_back(it.first);
+        }
+    }
+    for (const auto it : expired) {
+        erase(it);
+    }
+    const auto isOver = [&](const Pending &it) {
+        return now >= it.expiresAt;
+    };
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isOver), m_pending.end());
+    for (auto it = m_boots.begin(); it != m_boots.end();) {
+        it = now - it->second.seenAt >= m_settings.lifetime ? m_boots.erase(it) : std::next(it);
+    }
+}
+
+}
--- /dev/null
+++ b/src/routing/observations.cpp
@@ -0,0 +1,262 @@
+#include <galenarock/serverchoice.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace Galenarock
+{
+
+namespace
+{
+/// Weight of a new sample in the latency mean: about the last 10 answers count.
+constexpr double latencySampleWeight = 0.1;
+/// Slow start begins at this weight; at 0 the server would never be chosen and never warm up.
+constexpr double slowStartWeight = 0.1;
+/// Requests that a failure or refusal counts for. A failed attempt frees its place at once, so without a penalty the
+/// server that fails fastest would look least loaded.
+constexpr double failurePenalty = 2;
+constexpr double shedPenalty = 1;
+/// Latency may exceed the floor by this factor before the adaptive limit shrinks; service times vary by themselves.
+constexpr double latencyTolerance = 1.5;
+/// The latency floor rises by this share of the difference per sample, so that it follows a lasting change.
+constexpr double floorDrift = 0.002;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::uint32_t shareOf(std::uint32_t total, std::uint32_t daemons)
+{
+    return std::max<std::uint32_t>(1, total / std::max<std::uint32_t>(1, daemons));
+}
+
+bool readNumber(std::string_view &text, char end, std::uint32_t &n)
+{
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (result.ec != std::errc()) {
+        return false;
+    }
+    text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()));
+    if (end == '\0') {
+        return text.empty();
+    }
+    if (text.empty() || text.front() != end) {
+        return false;
+    }
+    text.remove_prefix(1);
+    return true;
+}
+}
+
+DaemonShare daemonShare(const PoolSettings &pool, std::uint32_t liveDaemons)
+{
+    return {shareOf(pool.slots, liveDaemons), shareOf(pool.connections, liveDaemons)};
+}
+
+std::optional<ReportedLoad> parseReportedLoad(std::string_view text)
+{
+    ReportedLoad load;
+    if (!readNumber(text, '/', load.inFlight) || !readNumber(text, '/', load.slots)
+        || !readNumber(text, '\0', load.queued) || load.slots == 0) {
+        return {};
+    }
+    return load;
+}
+
+ServerObservations::ServerObservations(ObservationSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::uint32_t ServerObservations::entryFor(Instant now, const Identity &identity)
+{
+    std::size_t unused = m_entries.size();
+    for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        const auto &it = m_entries[n];
+        if (it.identity == identity) {
+            return static_cast<std::uint32_t>(n);
+        }
+        if (it.identity.name.empty()) {
+            unused = n;
+        }
+    }
+    if (unused == m_entries.size()) {
+        m_entries.emplace_back();
+    }
+    m_entries[unused] = Entry();
+    m_entries[unused].identity = identity;
+    m_entries[unused].slowStartAt = now;
+    m_entries[unused].adaptiveLimit = m_share.slots;
+    return static_cast<std::uint32_t>(unused);
+}
+
+void ServerObservations::setServers(Instant now, const std::vector<RoutedServer> &servers, DaemonShare share)
+{
+    m_share = share;
+    m_order.clear();
+    for (auto &it : m_entries) {
+        it.index = noServer;
+    }
+    for (std::size_t n = 0; n < servers.size(); ++n) {
+        const auto entry = entryFor(now, servers[n].identity);
+        m_entries[entry].index = static_cast<ServerIndex>(n);
+        m_entries[entry].acceptsWork = servers[n].acceptsWork();
+        m_order.push_back(entry);
+    }
+    for (auto &it : m_entries) {
+        if (it.index == noServer && it.inFlight == 0) {
+            it = Entry();
+        }
+    }
+}
+
+double ServerObservations::decayedPenalty(Instant now, const Entry &entry) const
+{
+    if (entry.penalty == 0) {
+        return 0;
+    }
+    return entry.penalty * std::exp2(-toSeconds(now - entry.penaltyAt) / toSeconds(m_settings.penaltyHalfLife));
+}
+
+bool ServerObservations::isHeld(Instant now, const Entry &entry) const
+{
+    const bool probeDue = now >= entry.probeAt && entry.inFlight == 0;
+    return entry.held && !probeDue;
+}
+
+ServerView ServerObservations::makeView(Instant now, const Entry &entry) const
+{
+    ServerView view;
+    view.server = entry.index;
+    view.eligible = entry.acceptsWork && !isHeld(now, entry);
+    view.inFlight = entry.inFlight;
+    view.limit = m_share.slots;
+    view.adaptiveLimit = std::min<double>(entry.adaptiveLimit, m_share.connections);
+    view.latency = entry.latency;
+    view.penalty = decayedPenalty(now, entry);
+    if (entry.report) {
+        const double age = toSeconds(now - entry.reportedAt) / toSeconds(m_settings.reportLifetime);
+        view.reportWeight = std::clamp(1 - age, 0.0, 1.0);
+        const double busy = static_cast<double>(entry.report->inFlight) + entry.report->queued;
+        view.reportedLoad = view.reportWeight > 0 ? busy / entry.report->slots : -1;
+    }
+    const double age = toSeconds(now - entry.slowStartAt) / toSeconds(m_settings.slowStart);
+    view.weight = std::clamp(age, slowStartWeight, 1.0);
+    return view;
+}
+
+const std::vector<ServerView> &ServerObservations::views(Instant now)
+{
+    m_views.clear();
+    std::size_t accepting = 0;
+    std::size_t held = 0;
+    for (const auto it : m_order) {
+        const auto &entry = m_entries[it];
+        m_views.push_back(makeView(now, entry));
+        accepting += entry.acceptsWork ? 1 : 0;
+        held += entry.acceptsWork && entry.held ? 1 : 0;
+    }
+    m_panic = static_cast<double>(held) > m_settings.panicShare * static_cast<double>(accepting);
+    m_concurrency = 0;
+    for (auto &it : m_views) {
+        it.eligible = it.eligible || (m_panic && m_entries[m_order[it.server]].acceptsWork);
+        m_concurrency += it.eligible ? it.limit : 0;
+    }
+    return m_views;
+}
+
+ServerHandle ServerObservations::started(Instant /*now*/, ServerIndex server)
+{
+    const auto handle = m_order.at(server);
+    ++m_entries[handle].inFlight;
+    return handle;
+}
+
+void ServerObservations::finished(Instant now, ServerHandle handle, const AttemptObservation &observation)
+{
+    auto &entry = m_entries.at(handle);
+    --entry.inFlight;
+    if (entry.index == noServer) {
+        if (entry.inFlight == 0) {
+            entry = Entry();
+        }
+        return;
+    }
+    if (observation.load) {
+        entry.report = observation.load;
+        entry.reportedAt = now;
+    }
+    switch (observation.end) {
+    case AttemptEnd::Answered:
+        answered(now, entry, observation.latency);
+        break;
+    case AttemptEnd::Shed:
+        punish(now, entry, shedPenalty);
+        break;
+    case AttemptEnd::NotReady:
+        hold(now, entry);
+        break;
+    case AttemptEnd::Failed:
+        punish(now, entry, failurePenalty);
+        ++entry.failures;
+        if (entry.held || entry.failures >= m_settings.failuresToHold) {
+            hold(now, entry);
+        }
+        break;
+    case AttemptEnd::Cancelled:
+        break;
+    }
+}
+
+void ServerObservations::answered(Instant now, Entry &entry, Duration latency)
+{
+    if (entry.held) {
+        entry.held = false;
+        entry.backoff = Duration::zero();
+        entry.slowStartAt = now;
+    }
+    entry.failures = 0;
+    const double sample = toSeconds(latency);
+    entry.latency = entry.latency == 0 ? sample : entry.latency + latencySampleWeight * (sample - entry.latency);
+    adaptLimit(entry, sample);
+}
+
+void ServerObservations::adaptLimit(Entry &entry, double latency)
+{
+    // The floor follows the mean of single answers down quickly and up slowly: the service time without queueing.
+    if (entry.floorLatency == 0) {
+        entry.floorLatency = latency;
+    }
+    const double weight = entry.latency < entry.floorLatency ? latencySampleWeight : floorDrift;
+    entry.floorLatency += weight * (entry.latency - entry.floorLatency);
+    const double gradient = std::clamp(latencyTolerance * entry.floorLatency / entry.latency, 0.5, 1.0);
+    const double target = entry.adaptiveLimit * gradient + std::sqrt(entry.adaptiveLimit);
+    const bool inUse = entry.inFlight + 1.0 >= entry.adaptiveLimit / 2;
+    // An unused limit says nothing about whether a higher one would do.
+    if (inUse || target < entry.adaptiveLimit) {
+        entry.adaptiveLimit += latencySampleWeight * (target - entry.adaptiveLimit);
+    }
+    entry.adaptiveLimit = std::clamp<double>(entry.adaptiveLimit, 1, m_share.connections);
+}
+
+void ServerObservations::punish(Instant now, Entry &entry, double requests)
+{
+    entry.penalty = decayedPenalty(now, entry) + requests;
+    entry.penaltyAt = now;
+    entry.adaptiveLimit = std::max(1.0, entry.adaptiveLimit * 0.9);
+}
+
+void ServerObservations::hold(Instant now, Entry &entry)
+{
+    // Attempts that were already in flight when the hold began must not lengthen it.
+    if (entry.held && now < entry.probeAt) {
+        return;
+    }
+    entry.backoff = entry.held ? std::min(2 * entry.backoff, m_settings.probeAfterMax) : m_settings.probeAfter;
+    entry.held = true;
+    entry.probeAt = now + entry.backoff;
+}
+
+}
