--- a/src/proxy/classify.cpp
+++ b/src/proxy/classify.cpp
@@ -84,7 +84,7 @@
             return refusal;
         }
     }
-    request.plan.emplace(request.traffic->route->document().retry, request.idempotent, request.deadline);
+    request.plan.emplace(request.traffic->route->document(), request.method, request.deadline);
     return {};
 }
 
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -141,7 +141,7 @@
         m_now, request.handle,
         {endOf(reason, request.responseStatus), latency, parseReportedLoad(request.reportedLoad)});
     if (reason == Reason::None) {
-        request.traffic->admission.finished(latency);
+        request.traffic->admission.finished(m_now, latency);
     } else if (reason == Reason::ConnectionLost || reason == Reason::ResponseCut) {
         reportLost(request);
     }
@@ -163,7 +163,7 @@
     report.bodyAvailable = !request->streamsBody || request->bodyReceived == 0;
     auto &traffic = *request->traffic;
     const auto decision =
-        request->plan->failed(m_now, report, traffic.budget, traffic.admission.serviceTime(), request->ticket);
+        request->plan->failed(m_now, report, traffic.budget, traffic.admission.serviceTime(m_now), request->ticket);
     if (!decision.again || request->exchange->isCallerGone()) {
         refuse(request, decision.refusal);
         return;
