--- a/src/ownership/grantholder.cpp
+++ b/src/ownership/grantholder.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "ownership/random_p.h"
+
 namespace Galenarock
 {
 
@@ -10,16 +12,6 @@
 /// Senders whose nonces are kept. A pair has 2 members; the rest allows for takeovers and status queries.
 constexpr std::size_t maxSenders = 64;
 
-/// splitmix64: distinct values for at least 2^64 calls.
-std::uint64_t nextRandom(std::uint64_t &state)
-{
-    state += 0x9e3779b97f4a7c15;
-    std::uint64_t n = state;
-    n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9;
-    n = (n ^ (n >> 27)) * 0x94d049bb133111eb;
-    return n ^ (n >> 31);
-}
-
 bool overlapsAny(const SliceRange &range, const std::vector<GrantedSlice> &slices)
 {
     return std::any_of(slices.begin(), slices.end(), [&](const auto &it) { return it.range.overlaps(range); });
@@ -223,10 +215,7 @@
         });
         m_nonces.erase(oldest);
     }
-    std::uint64_t nonce = nextRandom(m_seed);
-    if (nonce == 0) {
-        nonce = nextRandom(m_seed);
-    }
+    const auto nonce = nextNonce(m_seed);
     m_nonces[sender] = {nonce, now};
     return nonce;
 }
--- /dev/null
+++ b/src/ownership/servers.cpp
@@ -0,0 +1,187 @@
+#include "ownership/shard_p.h"
+
+#include <algorithm>
+
+namespace Galenarock
+{
+
+namespace
+{
+/// A record without a listing, a slice and a reply is dropped after this time.
+constexpr Duration forgetAfter = seconds(60);
+}
+
+bool Shard::isResponsive(const ServerRecord &server) const
+{
+    const auto silentSince = std::max(server.lastReplyAt.value_or(server.listedAt), m_resumedAt);
+    return server.boot != 0 && m_now - silentSince < suspectAfter;
+}
+
+bool Shard::isUsable(const ServerRecord &server) const
+{
+    return server.listed && server.vm.state == VmState::Live && server.state != ServerState::Draining
+        && isResponsive(server) && server.epoch == epoch();
+}
+
+const ServerRecord *Shard::recordOf(const Identity &server) const
+{
+    const auto it = m_servers.find(server.name);
+    return it != m_servers.end() && it->second.boot == server.boot ? &it->second : nullptr;
+}
+
+void Shard::tickServers()
+{
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        auto &server = it->second;
+        const auto lastSeen = server.lastReplyAt.value_or(server.listedAt);
+        if (!server.listed && m_now - lastSeen > forgetAfter) {
+            it = m_servers.erase(it);
+            continue;
+        }
+        if (role() != ShardRole::None && (!server.lastSentAt || m_now >= *server.lastSentAt + renewInterval)) {
+            callServer(server);
+        }
+        ++it;
+    }
+}
+
+GrantRequest Shard::requestFor(const ServerRecord &server, GrantAction action) const
+{
+    GrantRequest request;
+    request.service = m_settings.document.service;
+    request.sender = m_settings.self;
+    request.boot = server.boot;
+    request.epoch = epoch();
+    request.nonce = server.nonce;
+    request.termMs = m_settings.document.ownership.termMs;
+    request.action = action;
+    return request;
+}
+
+void Shard::sendCall(ServerRecord &server, GrantRequest request)
+{
+    server.lastSentAt = m_now;
+    act(CallServerAction{server.vm.name, server.vm.address, std::move(request)});
+}
+
+void Shard::callServer(ServerRecord &server)
+{
+    const bool isSilent = server.boot == 0 || server.nonce == 0;
+    if (isSilent || !isEntitled() || isStopped(server.identity())) {
+        return sendCall(server, requestFor(server, GrantAction::Poll));
+    }
+    if (server.epoch < epoch()) {
+        return sendCall(server, requestFor(server, GrantAction::Fence));
+    }
+    sendCall(server, requestFor(server, GrantAction::Renew));
+}
+
+void Shard::on(const GrantReplyEvent &event)
+{
+    const auto it = m_servers.find(event.server);
+    if (it == m_servers.end() || !event.reply || event.request.sender != m_settings.self) {
+        return;
+    }
+    auto &server = it->second;
+    learnBoot(server, event);
+    if (event.reply->boot != server.boot) {
+        return;
+    }
+    if (event.reply->epoch > epoch()) {
+        // Another daemon has taken the mandate; what it says decides.
+        m_mandateWriter.read(*m_actions);
+    }
+    const bool isLate = server.lastReplyAt && event.sentAt < server.repliedSentAt;
+    learnReply(server, event);
+    if (event.request.action == GrantAction::Revoke) {
+        return onRevokeReply(event);
+    }
+    const bool isRefusedNonce = event.reply->reason == "old-nonce";
+    const bool needsFollowUp = event.request.action == GrantAction::Fence || event.request.boot == 0 || isRefusedNonce;
+    if (!isLate && needsFollowUp && role() != ShardRole::None) {
+        callServer(server);
+    }
+}
+
+void Shard::learnBoot(ServerRecord &server, const GrantReplyEvent &event)
+{
+    if (server.boot == event.reply->boot || (server.boot != 0 && event.sentAt <= server.bootSentAt)) {
+        return;
+    }
+    server.boot = event.reply->boot;
+    server.bootSentAt = event.sentAt;
+    server.nonce = 0;
+    server.nonceAt.reset();
+    server.held.clear();
+    server.epoch = 0;
+    server.lastReplyAt.reset();
+}
+
+void Shard::learnReply(ServerRecord &server, const GrantReplyEvent &event)
+{
+    server.lastReplyAt = m_now;
+    server.nonceAt = m_now;
+    server.epoch = std::max(server.epoch, event.reply->epoch);
+    if (event.sentAt < server.repliedSentAt) {
+        return;
+    }
+    server.repliedSentAt = event.sentAt;
+    server.nonce = event.reply->nonce;
+    server.state = event.reply->state;
+    server.held = event.reply->held;
+    adoptHeld(server);
+}
+
+void Shard::onRevokeReply(const GrantReplyEvent &event)
+{
+    for (const auto &slice : event.request.slices) {
+        const auto it = m_revoking.find(slice.sequence);
+        if (!event.reply->accepted || it == m_revoking.end() || event.request.epoch != epoch()) {
+            continue;
+        }
+        m_revoking.erase(it);
+        m_free.insert(slice.sequence);
+    }
+}
+
+std::vector<GrantedSlice> Shard::missingGrants(const ServerRecord &server) const
+{
+    std::vector<GrantedSlice> missing;
+    for (const auto &it : m_live->slices) {
+        const GrantedSlice slice{it.range, it.sequence};
+        if (ownerOf(it) != server.identity() || m_free.count(it.sequence) != 0 || m_revoking.count(it.sequence) != 0) {
+            continue;
+        }
+        if (std::binary_search(server.held.begin(), server.held.end(), slice,
+                               [](const auto &a, const auto &b) {
+                                   return std::tie(a.range, a.sequence) < std::tie(b.range, b.sequence);
+                               })
+            || !isClear(it)) {
+            continue;
+        }
+        missing.push_back(slice);
+    }
+    return missing;
+}
+
+void Shard::sendGrants()
+{
+    for (auto &[name, server] : m_servers) {
+        const bool wasCalled = server.grantSentAt && m_now < *server.grantSentAt + resendInterval
+            && server.repliedSentAt < *server.grantSentAt;
+        if (wasCalled || !isResponsive(server) || server.epoch != epoch() || isStopped(server.identity())
+            || server.state == ServerState::Draining) {
+            continue;
+        }
+        auto missing = missingGrants(server);
+        if (missing.empty() || (server.grantSentAt && server.grantSentAt == m_now)) {
+            continue;
+        }
+        auto request = requestFor(server, GrantAction::Grant);
+        request.slices = std::move(missing);
+        server.grantSentAt = m_now;
+        sendCall(server, std::move(request));
+    }
+}
+
+}
