Add membership core

Cause: relays, mandates and permits need a table of live daemons that does not depend on the platform being up. Ruled out: ordering a VM's identities by boot number (random); full table exchange at a fixed interval (27 KB/s with 10,000 members), the interval grows with the table instead.

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -7,6 +7,7 @@
 #include <galenarock/document.h>
 #include <galenarock/error.h>
 #include <galenarock/eventlog.h>
+#include <galenarock/membership.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
 #include <galenarock/placement.h>
