--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -10,6 +10,7 @@
 #include <galenarock/eventlog.h>
 #include <galenarock/grantholder.h>
 #include <galenarock/ledger.h>
+#include <galenarock/membership.h>
 #include <galenarock/metrics.h>
 #include <galenarock/ownership.h>
 #include <galenarock/peer.h>
