Add galenarockd: threads, control plane, admin endpoints and planned stop

Cause: the cores need one process that feeds them events and carries their actions out. The request ledger is a shard like any other, whose servers are the entry VMs. Ruled out: a thread for each core; their actions depend on one order of events.

--- /dev/null
+++ b/src/daemon/controlplane.cpp
@@ -0,0 +1,295 @@
+#include "controlplane_p.h"
+
+#include <fmt/format.h>
+
+#include <galenarock/ledger.h>
+
+#include "events_p.h"
+
+namespace Galenarock
+{
+
+namespace
+{
+constexpr Duration StatusInterval = milliseconds(250);
+/// Servers of balanced services hold no grants; the poll shows their boot number and their own drain signal, which must
+/// stop new work within 2 s.
+constexpr Duration BalancedPollInterval = seconds(1);
+
+MembershipSettings membershipSettings(const ControlPlaneSettings &settings)
+{
+    MembershipSettings membership;
+    membership.self.identity = settings.self;
+    membership.self.failureDomain = settings.failureDomain;
+    membership.self.address = settings.address;
+    membership.self.peerAddress = settings.peerAddress;
+    membership.startIncarnation = static_cast<std::uint64_t>(wallClockNow());
+    membership.seed = settings.seed;
+    return membership;
+}
+
+nlohmann::json memberJson(const Member &member)
+{
+    constexpr const char *names[] = {"alive", "suspect", "dead", "leaving"};
+    return {{"identity", toString(member.identity)},
+            {"failureDomain", member.failureDomain},
+            {"address", member.address},
+            {"status", names[static_cast<std::size_t>(member.status)]},
+            {"listed", member.listed}};
+}
+
+nlohmann::json serverJson(const ServerStatus &server)
+{
+    return {{"identity", toString(server.identity)},
+            {"failureDomain", server.failureDomain},
+            {"listed", server.listed},
+            {"leaving", server.leaving},
+            {"responsive", server.responsive},
+            {"stopped", server.stopped},
+            {"epoch", server.epoch},
+            {"slices", server.held.size()}};
+}
+
+nlohmann::json shardJson(const ShardController &controller, Instant now)
+{
+    constexpr const char *roles[] = {"none", "deputy", "coordinator"};
+    const auto status = controller.status(now);
+    nlohmann::json json{{"role", roles[static_cast<std::size_t>(status.role)]},
+                        {"epoch", controller.epoch()},
+                        {"platformDown", status.platformDown},
+                        {"holdCapReached", status.holdCapReached},
+                        {"waitingFor", status.waitingFor},
+                        {"unownedSlices", status.unowned.size()}};
+    if (status.mandate) {
+        json["coordinator"] = toString(status.mandate->coordinator);
+        json["deputy"] = status.mandate->deputy ? toString(*status.mandate->deputy) : "";
+    }
+    json["servers"] = nlohmann::json::array();
+    for (const auto &it : status.servers) {
+        json["servers"].push_back(serverJson(it));
+    }
+    return json;
+}
+}
+
+ControlPlane::ControlPlane(ControlPlaneSettings settings, ControlPlaneHooks hooks)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_membership(membershipSettings(m_settings))
+    , m_shards([this](const ServiceDocument &document) { return shardSettings(document); })
+    , m_status(std::make_shared<const nlohmann::json>(nlohmann::json::object()))
+{
+}
+
+ShardSettings ControlPlane::shardSettings(const ServiceDocument &document) const
+{
+    ShardSettings settings;
+    settings.self = m_settings.self;
+    settings.failureDomain = m_settings.failureDomain;
+    settings.shard = document.service;
+    settings.document = document;
+    settings.seed = m_settings.seed ^ hashKey(document.service);
+    settings.outgoingEmpty = m_hooks.outgoingEmpty;
+    return settings;
+}
+
+void ControlPlane::handle(Instant now, const ControlEvent &event)
+{
+    if (const auto *vms = std::get_if<VmListEvent>(&event)) {
+        if (vms->list == m_vms) {
+            return;
+        }
+        m_vms = vms->list;
+        m_dirty = true;
+        step(now, VmListEvent{withLedgerServers(vms->list)});
+        return;
+    }
+    observe(now, event);
+    step(now, event);
+}
+
+void ControlPlane::observe(Instant now, const ControlEvent &event)
+{
+    if (const auto *reply = std::get_if<GrantReplyEvent>(&event)) {
+        observeReply(*reply);
+    } else if (const auto *peer = std::get_if<PeerEvent>(&event)) {
+        if (peer->type >= PeerMessageRange::Requests) {
+            m_hooks.requestMessage(*peer);
+        }
+    } else if (std::holds_alternative<TickEvent>(event)) {
+        startLedger(now);
+        pollBalanced(now);
+    }
+}
+
+void ControlPlane::observeReply(const GrantReplyEvent &event)
+{
+    if (!event.reply) {
+        return;
+    }
+    m_hooks.bootSeen(event.server, event.reply->boot);
+    const bool isDraining = event.reply->state == ServerState::Draining;
+    const bool wasDraining = m_draining.count(event.server) > 0;
+    if (isDraining == wasDraining) {
+        return;
+    }
+    m_dirty = true;
+    if (isDraining) {
+        m_draining.insert(event.server);
+    } else {
+        m_draining.erase(event.server);
+    }
+}
+
+void ControlPlane::startLedger(Instant now)
+{
+    if (m_ledgerStarted || m_members.empty()) {
+        return;
+    }
+    m_ledgerStarted = true;
+    carryOut(now, m_shards.setDocument(now, ledgerDocument()));
+}
+
+void ControlPlane::pollBalanced(Instant now)
+{
+    if (now < m_nextPoll) {
+        return;
+    }
+    m_nextPoll = now + BalancedPollInterval;
+    if (!m_snapshot) {
+        return;
+    }
+    for (const auto &route : m_snapshot->services()) {
+        if (route.document().distribution == Distribution::Keyed) {
+            continue;
+        }
+        for (const auto &it : route.servers()) {
+            if (it.address.empty()) {
+                continue;
+            }
+            GrantRequest poll;
+            poll.service = route.document().service;
+            poll.sender = m_settings.self;
+            m_hooks.callServer({it.identity.name, it.address, poll});
+        }
+    }
+}
+
+void ControlPlane::step(Instant now, const ControlEvent &event)
+{
+    carryOut(now, m_membership.step(now, event));
+    carryOut(now, m_shards.step(now, event));
+    if (const auto *object = std::get_if<ObjectEvent>(&event)) {
+        adopt(now, object->object);
+    }
+}
+
+void ControlPlane::adopt(Instant now, const StoredObject &object)
+{
+    if (object.key.kind != ObjectKind::Service || !m_documents.apply(object)) {
+        return;
+    }
+    m_dirty = true;
+    for (const auto &it : m_documents.documents()) {
+        if (it.service == object.key.name) {
+            carryOut(now, m_shards.setDocument(now, it));
+        }
+    }
+}
+
+void ControlPlane::carryOut(Instant now, ControlActions actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *read = std::get_if<ReadObjectAction>(&action)) {
+            m_hooks.readObject(*read);
+        } else if (const auto *write = std::get_if<WriteObjectAction>(&action)) {
+            m_hooks.writeObject(*write);
+        } else if (const auto *call = std::get_if<CallServerAction>(&action)) {
+            m_hooks.callServer(*call);
+        } else if (const auto *send = std::get_if<SendPeerAction>(&action)) {
+            m_hooks.sendPeer(*send);
+        } else if (const auto *assignment = std::get_if<PublishAssignmentAction>(&action)) {
+            publishAssignment(assignment->assignment);
+        } else if (const auto *members = std::get_if<PublishMembersAction>(&action)) {
+            publishMembers(now, members->members);
+        } else if (const auto *decision = std::get_if<DecisionAction>(&action)) {
+            logEvent(decision->event, "{}: {}", decision->service, decision->text);
+            m_decisions.add(*decision, wallClockNow());
+        }
+    }
+}
+
+void ControlPlane::publishAssignment(const Assignment &assignment)
+{
+    auto &stored = m_assignments[assignment.service];
+    const auto isOlder =
+        std::tie(assignment.epoch, assignment.nextSequence) < std::tie(stored.epoch, stored.nextSequence);
+    if (isOlder) {
+        return;
+    }
+    stored = assignment;
+    m_dirty = true;
+}
+
+void ControlPlane::publishMembers(Instant now, const std::vector<Member> &members)
+{
+    m_members = members;
+    m_hooks.membersChanged(members);
+    step(now, MembersEvent{members});
+}
+
+void ControlPlane::endBatch(Instant now)
+{
+    if (m_dirty) {
+        m_dirty = false;
+        publishSnapshot(now);
+    }
+    if (!m_isRelay) {
+        m_isRelay = true;
+        m_hooks.relayChanged(m_isRelay);
+    }
+    if (now >= m_nextStatus) {
+        m_nextStatus = now + StatusInterval;
+        m_handedOver.store(m_shards.isHandedOver(), std::memory_order_release);
+        publishStatus(now);
+    }
+}
+
+void ControlPlane::publishSnapshot(Instant now)
+{
+    RoutingInput input;
+    input.documents = m_documents.documents();
+    for (const auto &[name, it] : m_assignments) {
+        input.assignments.push_back(it);
+    }
+    input.vms = m_vms;
+    input.draining.assign(m_draining.begin(), m_draining.end());
+    m_snapshot = input.documents.empty() ? nullptr : RoutingSnapshot::build(input, now, m_snapshot.get());
+    m_hooks.snapshotChanged(m_snapshot);
+    const auto ledger = m_assignments.find(std::string(ledgerService));
+    if (ledger != m_assignments.end()) {
+        m_hooks.ledgerChanged(ledger->second, m_vms);
+    }
+    logEvent(Events::SnapshotPublished, "{} services", input.documents.size());
+}
+
+void ControlPlane::publishStatus(Instant now)
+{
+    nlohmann::json json{{"vm", toString(m_settings.self)},
+                        {"failureDomain", m_settings.failureDomain},
+                        {"version", GALENAROCK_VERSION},
+                        {"configuration", m_documents.versions()},
+                        {"relay", m_isRelay}};
+    json["members"] = nlohmann::json::array();
+    for (const auto &it : m_members) {
+        json["members"].push_back(memberJson(it));
+    }
+    json["shards"] = nlohmann::json::object();
+    for (const auto &[name, it] : m_shards.controllers()) {
+        json["shards"][name] = shardJson(*it, now);
+    }
+    std::atomic_store(&m_status,
+                      std::shared_ptr<const nlohmann::json>(std::make_shared<nlohmann::json>(std::move(json))));
+}
+
+}
--- a/src/daemon/decisionlog_p.h
+++ b/src/daemon/decisionlog_p.h
@@ -20,7 +20,8 @@
     nlohmann::json find(const std::string &service, KeyHash hash) const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         WallMilliseconds when;
         SliceRange range;
         std::string event;
--- a/src/daemon/documentset_p.h
+++ b/src/daemon/documentset_p.h
@@ -21,7 +21,8 @@
     nlohmann::json versions() const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         std::uint64_t seenVersion = 0;
         std::uint64_t version = 0;
         ServiceDocument document;
