--- /dev/null
+++ b/src/proxy/responses.cpp
@@ -0,0 +1,259 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "events_p.h"
+#include "headerfields_p.h"
+#include "requesthandler_p.h"
+
+/// Last part of a request's life: the server's response, further attempts, and the one outcome.
+namespace Galenarock
+{
+
+namespace
+{
+std::vector<HeaderField> refusalHeaders(const Refusal &refusal)
+{
+    std::vector<HeaderField> headers{{"Content-Type", "application/json"},
+                                     {"Galenarock-Outcome", std::string(toString(refusal.outcome))},
+                                     {"Galenarock-Reason", std::string(reasonInfo(refusal.reason).code)}};
+    const auto status = reasonInfo(refusal.reason).httpStatus;
+    if (status == 429 || status == 503) {
+        headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(1, (refusal.untilMs + 999) / 1000))});
+    }
+    if (refusal.reason == Reason::StoppingVm) {
+        headers.push_back({"Connection", "close"});
+    }
+    return headers;
+}
+
+/// Why an attempt gave no complete response.
+Reason reasonOf(const PendingRequest &request, const AttemptResult &result)
+{
+    if (request.serverRefusal != Reason::None) {
+        return request.serverRefusal;
+    }
+    if (!result.sent) {
+        return request.toKeeper ? Reason::KeeperUnavailable : Reason::ConnectFailed;
+    }
+    if (result.timedOut) {
+        return Reason::DeadlinePassed;
+    }
+    return request.responseStatus != 0 ? Reason::ResponseCut : Reason::ConnectionLost;
+}
+
+AttemptEnd endOf(Reason reason, unsigned status)
+{
+    switch (reason) {
+    case Reason::None:
+        return status >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
+    case Reason::ServerShed:
+    case Reason::DeadlineTooShort:
+        return AttemptEnd::Shed;
+    case Reason::ServerCold:
+    case Reason::ServerDraining:
+    case Reason::NotOwner:
+        return AttemptEnd::NotReady;
+    default:
+        return AttemptEnd::Failed;
+    }
+}
+}
+
+void RequestHandler::handleHead(const Pending &request, unsigned status, std::vector<HeaderField> headers)
+{
+    request->responseStatus = status;
+    request->reportedLoad = fieldOf(headers, "Galenarock-Load");
+    const auto outcome = fieldOf(headers, "Galenarock-Outcome");
+    if (outcome == toString(Outcome::NotRun) || (request->toKeeper && outcome == toString(Outcome::Unknown))) {
+        const auto reason = reasonFromCode(fieldOf(headers, "Galenarock-Reason"));
+        request->serverRefusal = reason == Reason::None ? Reason::ServerShed : reason;
+        request->keeperUnknown = outcome == toString(Outcome::Unknown);
+        return;
+    }
+    const auto length = parseNumber(fieldOf(headers, "Content-Length"));
+    for (auto &it : headers) {
+        if (isHopByHop(it.name) || isInternal(it.name) || equalsIgnoreCase(it.name, "Content-Length")) {
+            continue;
+        }
+        request->responseHeaders.push_back(std::move(it));
+    }
+    const bool hasBody = request->method != "HEAD" && status != 204 && status != 304;
+    if (!hasBody || (length && *length <= CollectedResponseBytes)) {
+        return;
+    }
+    request->streamsResponse = true;
+    const std::weak_ptr<PendingRequest> weak = request;
+    request->exchange->onResponseDrained = [this, weak] {
+        withRequest(weak, [&](const Pending &it) { scheduleResume(it, it->receivingPaused); });
+    };
+    request->exchange->startResponse(status, request->responseHeaders, length);
+}
+
+bool RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
+{
+    if (request->serverRefusal != Reason::None) {
+        return true;
+    }
+    if (!request->streamsResponse) {
+        request->responseBody.append(bytes, n);
+        return true;
+    }
+    if (request->exchange->appendResponse(bytes, n)) {
+        return true;
+    }
+    request->receivingPaused = true;
+    return false;
+}
+
+void RequestHandler::handleDone(const Pending &request, const AttemptResult &result)
+{
+    m_now = MonotonicClock::now();
+    request->attempt = nullptr;
+    request->sendingPaused = false;
+    request->receivingPaused = false;
+    const bool isAnswer = result.complete && request->serverRefusal == Reason::None;
+    const auto reason = isAnswer ? Reason::None : reasonOf(*request, result);
+    observe(*request, result, reason);
+    if (isAnswer) {
+        answer(request);
+    } else if (request->streamsResponse) {
+        cutResponse(request, result.error);
+    } else if (request->keeperUnknown) {
+        refuse(request, {request->serverRefusal, Outcome::Unknown, {}, 0});
+    } else {
+        tryAgain(request, {reason, reasonInfo(reason).outcome, result.error, 0}, result);
+    }
+    pump(*request->traffic);
+}
+
+void RequestHandler::observe(PendingRequest &request, const AttemptResult &result, Reason reason)
+{
+    if (result.resendStopped) {
+        logEvent(Events::ResendStopped, "service {} server {}", request.traffic->route->document().service,
+                 request.serverIdentity.name);
+    }
+    if (request.server == noServer) {
+        return;
+    }
+    const auto latency = m_now - request.attemptStartedAt;
+    request.traffic->observations.finished(
+        m_now, request.handle,
+        {endOf(reason, request.responseStatus), latency, parseReportedLoad(request.reportedLoad)});
+    if (reason == Reason::None) {
+        request.traffic->admission.finished(m_now, latency);
+    } else if (reason == Reason::ConnectionLost || reason == Reason::ResponseCut) {
+        reportLost(request);
+    }
+}
+
+void RequestHandler::reportLost(const PendingRequest &request)
+{
+    m_shared.suspects().connectionLost(
+        m_now, {request.fingerprint, request.caller, request.serverIdentity.name, request.serverIdentity.boot});
+}
+
+void RequestHandler::tryAgain(const Pending &request, const Refusal &refusal, const AttemptResult &result)
+{
+    AttemptReport report;
+    report.reason = refusal.reason;
+    report.server = request->server;
+    report.bytesSent = result.sent;
+    report.saidNotRun = request->serverRefusal != Reason::None;
+    report.bodyAvailable = !request->streamsBody || request->bodyReceived == 0;
+    auto &traffic = *request->traffic;
+    const auto decision =
+        request->plan->failed(m_now, report, traffic.budget, traffic.admission.serviceTime(m_now), request->ticket);
+    if (!decision.again || request->exchange->isCallerGone()) {
+        refuse(request, decision.refusal);
+        return;
+    }
+    traffic.retries(refusal.reason).add();
+    m_delayed.push_back({m_now + decision.delay, request});
+}
+
+void RequestHandler::answer(const Pending &request)
+{
+    request->traffic->answered.add();
+    request->traffic->latency.record(std::chrono::duration<double>(m_now - request->arrivedAt).count());
+    m_shared.suspects().succeeded(m_now, request->fingerprint);
+    if (request->inLedger) {
+        RecordedResponse response{request->responseStatus, {}, request->responseBody};
+        for (const auto &it : request->responseHeaders) {
+            response.headers.emplace_back(it.name, it.value);
+        }
+        request->inLedger = false;
+        m_shared.keeper().answered(*request->id, std::move(response));
+    }
+    if (request->streamsResponse) {
+        request->exchange->finishResponse();
+    } else {
+        request->exchange->respond(request->responseStatus, std::move(request->responseHeaders),
+                                   std::move(request->responseBody));
+    }
+    finish(request);
+}
+
+void RequestHandler::cutResponse(const Pending &request, const std::string &error)
+{
+    logEvent(Events::ResponseCut, "service {}: {}", request->traffic->route->document().service, error);
+    request->traffic->refusals(Reason::ResponseCut).add();
+    recordOutcome(*request, {Reason::ResponseCut, Outcome::Unknown, {}, 0});
+    request->exchange->abortResponse();
+    finish(request);
+}
+
+void RequestHandler::refuse(const Pending &request, const Refusal &refusal)
+{
+    auto &counter = request->traffic ? request->traffic->refusals(refusal.reason)
+                                     : *m_unroutedRefusals[static_cast<std::size_t>(refusal.reason)];
+    counter.add();
+    logEvent(Events::RequestRefused, "{} {}: {} {}", request->method, request->exchange->target(),
+             reasonInfo(refusal.reason).code, refusal.detail);
+    recordOutcome(*request, refusal);
+    request->exchange->respond(reasonInfo(refusal.reason).httpStatus, refusalHeaders(refusal),
+                               toJsonText(refusal) + "\n");
+    finish(request);
+}
+
+void RequestHandler::finish(const Pending &request)
+{
+    if (request->finished) {
+        return;
+    }
+    request->finished = true;
+    m_shared.inFlight().fetch_sub(1, std::memory_order_relaxed);
+    if (request->exchange->isCallerGone()) {
+        m_active.erase(request);
+    }
+}
+
+void RequestHandler::handleGone(const Pending &request, bool)
+{
+    const auto keepAlive = request;
+    if (request->finished) {
+        m_active.erase(keepAlive);
+        return;
+    }
+    if (request->isQueued) {
+        request->traffic->admission.cancel(request->ticket);
+        request->traffic->queued.erase(request->ticket);
+        request->isQueued = false;
+    }
+    // A non-repeatable request runs to its end, so that its outcome can be recorded for a repeat.
+    const bool mayCancel = request->idempotent || request->streamsBody;
+    const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
+    if (request->attempt && mayCancel) {
+        m_upstream.cancel(request->attempt);
+        request->attempt = nullptr;
+        if (request->server != noServer) {
+            request->traffic->observations.finished(m_now, request->handle, {AttemptEnd::Cancelled, Duration(0), {}});
+        }
+    }
+    if (!request->attempt) {
+        recordOutcome(*request, {Reason::ConnectionLost, wasSent ? Outcome::Unknown : Outcome::NotRun, {}, 0});
+        finish(keepAlive);
+    }
+}
+
+}
