--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -106,6 +106,8 @@
     Result<void> start(const ProxySettings &settings);
     /// `ip:port` actually bound.
     std::string address() const;
+    /// Processor time that the workers have used, in seconds.
+    double cpuSeconds() const;
     /// Stops accepting connections; requests in flight go on.
     void quiesce();
     /// Ends the threads. Requests still in flight are cut, so the caller waits for ProxyShared::inFlight() first.
--- a/include/galenarock/thread.h
+++ b/include/galenarock/thread.h
@@ -22,6 +22,8 @@
     ~Thread();
 
     void join();
+    /// Processor time that the running thread has used, in seconds; 0 when it does not run.
+    double cpuSeconds() const;
 
 private:
     pthread_t m_thread{};
--- a/src/base/thread.cpp
+++ b/src/base/thread.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <memory>
 #include <utility>
 
@@ -66,4 +67,14 @@
     m_running = false;
 }
 
+double Thread::cpuSeconds() const
+{
+    clockid_t clock{};
+    timespec time{};
+    if (!m_running || pthread_getcpuclockid(m_thread, &clock) != 0 || clock_gettime(clock, &time) != 0) {
+        return 0;
+    }
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
 }
--- a/src/daemon/controlthread.cpp
+++ b/src/daemon/controlthread.cpp
@@ -1,7 +1,5 @@
 #include "controlthread_p.h"
 
-#include <ctime>
-
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -66,7 +64,6 @@
     while (!m_stopWanted.load(std::memory_order_relaxed)) {
         waitForEvents();
         runBatch(MonotonicClock::now());
-        measureCpu();
     }
 }
 
@@ -96,12 +93,4 @@
     m_hooks.onBatchEnd(now);
 }
 
-void ControlThread::measureCpu()
-{
-    timespec time{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-    m_cpuSeconds.store(static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9,
-                       std::memory_order_relaxed);
-}
-
 }
--- a/src/daemon/controlthread_p.h
+++ b/src/daemon/controlthread_p.h
@@ -45,21 +45,19 @@
     /// Time that the thread spent on the processor, in seconds.
     double cpuSeconds() const
     {
-        return m_cpuSeconds.load(std::memory_order_relaxed);
+        return m_thread.cpuSeconds();
     }
 
 private:
     void loop();
     void runBatch(Instant now);
     void waitForEvents() const;
-    void measureCpu();
 
     Hooks m_hooks;
     Counter &m_events;
     std::vector<std::unique_ptr<Ring<ControlEvent>>> m_rings;
     std::vector<Counter *> m_rejected;
     std::atomic<bool> m_stopWanted{false};
-    std::atomic<double> m_cpuSeconds{0};
     int m_wakeFd;
     Instant m_nextTick{};
     Thread m_thread;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -255,6 +255,7 @@
     metrics.gauge("galenarock_ledger_records", "",
                   [this] { return static_cast<double>(shared.keeper().recordCount()); });
     metrics.gauge("galenarock_crash_suspects", "", [this] { return static_cast<double>(shared.suspects().size()); });
+    metrics.gauge("galenarock_proxy_cpu_seconds", "", [this] { return proxy.cpuSeconds(); });
     metrics.gauge("galenarock_control_cpu_seconds", "", [this] { return control->cpuSeconds(); });
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -75,6 +75,11 @@
         return m_listener.address();
     }
 
+    double cpuSeconds() const
+    {
+        return m_thread.cpuSeconds();
+    }
+
     void quiesce()
     {
         m_quiesceWanted.store(true);
@@ -194,6 +199,15 @@
     return m_impl->workers.empty() ? std::string() : m_impl->workers.front()->address();
 }
 
+double Proxy::cpuSeconds() const
+{
+    double total = 0;
+    for (const auto &it : m_impl->workers) {
+        total += it->cpuSeconds();
+    }
+    return total;
+}
+
 void Proxy::quiesce()
 {
     for (const auto &it : m_impl->workers) {
