Hand request-ledger records to the next keeper of a range

Cause: after a planned move the new keeper refused every id created before its takeover plus 2 s with outcome unknown, so a graceful stop of one entry VM told callers 'unknown' about orders that had never run. Change: a keeper that gains a range asks the former one for its records; the former keeper answers only once it holds no part of the range. While the question is open (at most 0.5 s) such ids are refused as not run. Ruled out: handing records over inside the revoke reply; the next owner is not known then.

--- a/include/galenarock/ledger.h
+++ b/include/galenarock/ledger.h
@@ -120,6 +120,26 @@
     }
 };
 
+/// One recorded id as handed to the next keeper of its range.
+struct LedgerRecord
+{
+    RequestId id;
+    /// False for an id whose outcome is unknown or still open.
+    bool isAnswered = false;
+    unsigned status = 0;
+    std::shared_ptr<const RecordedResponse> response;
+    Reason reason = Reason::None;
+};
+
+/// Everything that a former keeper knows about a range that it no longer holds.
+struct LedgerHandover
+{
+    SliceRange range;
+    /// Every id of the range that ran and was created from this time on is in `records`.
+    WallMilliseconds completeFrom = 0;
+    std::vector<LedgerRecord> records;
+};
+
 /// Outcomes of the non-repeatable requests whose ids this daemon keeps.
 class RequestLedger
 {
@@ -127,8 +147,8 @@
     explicit RequestLedger(LedgerSettings settings = {});
 
     /// The ranges granted to this daemon from now on. A range counts as held without interruption when all of it was
-    /// held before under the same sequences; otherwise its takeover time is `wallNow`.
-    void setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges);
+    /// held before under the same sequences; otherwise its takeover time is `wallNow` and it is returned as gained.
+    std::vector<LedgerRange> setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges);
     /// The grant ends at this time unless renewed; begin() refuses afterwards. Measured on this daemon's own clock.
     void renewUntil(Instant termEnd);
 
@@ -139,6 +159,12 @@
     /// Not run: the id is forgotten, and a repeat is accepted. Unknown: repeats get the same refusal.
     void refused(const RequestId &id, const Refusal &refusal);
 
+    /// For the next keeper. Empty while any part of the range is held here, or when some part was never held here.
+    std::optional<LedgerHandover> handOver(const LedgerRange &range) const;
+    /// Records of the former keeper: ids created from `completeFrom` on are accepted or recognised from now on.
+    /// Ignored for a range that is not held.
+    void takeOver(const LedgerHandover &handover);
+
     std::size_t size() const
     {
         return m_entries.size();
@@ -174,7 +200,13 @@
     static LedgerDecision repeated(const Entry &entry);
 
     LedgerSettings m_settings;
+    void release(const HeldRange &range);
+
+    /// Ranges released last, newest at the back; a next keeper asks within seconds.
+    static constexpr std::size_t maxReleased = 512;
+
     std::vector<HeldRange> m_ranges;
+    std::deque<HeldRange> m_released;
     Instant m_termEnd{};
     /// Ids created earlier are refused. Never falls, also when the wall clock is set back.
     WallMilliseconds m_floor = 0;
@@ -206,6 +238,8 @@
     KeeperMap(Assignment assignment, const VmList &vms);
     /// Empty when nobody may keep the id now (refused with KeeperUnavailable).
     std::optional<Keeper> keeper(const RequestId &id) const;
+    /// Owner by the assignment of the slice that contains `hash`, reachable or not.
+    std::optional<Identity> ownerOf(KeyHash hash) const;
     /// Ranges that `identity` keeps, for RequestLedger::setRanges.
     std::vector<LedgerRange> rangesOf(const Identity &identity) const;
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -159,6 +159,9 @@
 void Daemon::Impl::receiveRequestMessage(const PeerEvent &event)
 {
     if (event.type != RequestMessage::SuspectReport) {
+        if (!shared.keeper().handlePeer(event)) {
+            metrics.counter("galenarock_malformed_peer_messages_total").add();
+        }
         return;
     }
     if (const auto report = decodeSuspectReport(event.payload)) {
@@ -210,6 +213,7 @@
             return {fmt::format("{}: {}", PeerAuthHeader, peerAuth(settings.peerKey, body))};
         });
     openPlatform();
+    shared.keeper().setSendHook([this](const SendPeerAction &it) { peers->send(it); });
     shared.suspects().setReportHook([this](const SuspectReport &it) { broadcast(it); });
     plane = std::make_unique<ControlPlane>(
         ControlPlaneSettings{self, settings.failureDomain, proxy.address(), peers->address(), self.boot}, makeHooks());
@@ -227,6 +231,7 @@
     const auto startedAt = MonotonicClock::now();
     logEvent(Events::DaemonStopping, "{} requests in flight", shared.inFlight().load());
     ready.store(false);
+    shared.keeper().drain(startedAt);
     control->post(EventSource::Main, StopEvent());
     sleepFor(milliseconds(settings.stopNoticeMs));
     shared.setRefusing();
@@ -236,7 +241,8 @@
     if (!finished) {
         logEvent(Events::StopDeadline, "{} requests in flight are cut", shared.inFlight().load());
     }
-    waitUntil(MonotonicClock::now() + HandOverLimit, [this] { return plane->isHandedOver(); });
+    waitUntil(MonotonicClock::now() + HandOverLimit,
+              [this] { return plane->isHandedOver() && shared.keeper().rangeCount(MonotonicClock::now()) == 0; });
     waitUntil(MonotonicClock::now() + HandOverLimit, [this] { return servers->isIdle() && peers->isIdle(); });
     sleepFor(milliseconds(100)); // lets the last responses leave the socket buffers of kept connections
     control->stop();
--- a/src/requests/ledger.cpp
+++ b/src/requests/ledger.cpp
@@ -116,15 +116,27 @@
     return {};
 }
 
-void RequestLedger::setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges)
+std::vector<LedgerRange> RequestLedger::setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges)
 {
     std::vector<HeldRange> held;
+    std::vector<LedgerRange> gained;
     for (const auto &it : ranges) {
-        held.push_back({it, inheritedTakeover(it).value_or(wallNow)});
+        const auto inherited = inheritedTakeover(it);
+        held.push_back({it, inherited.value_or(wallNow)});
+        if (!inherited) {
+            gained.push_back(it);
+        }
     }
     std::sort(held.begin(), held.end(),
               [](const HeldRange &a, const HeldRange &b) { return a.range.range < b.range.range; });
-    m_ranges = std::move(held);
+    std::swap(m_ranges, held);
+    for (const auto &it : held) {
+        const auto *now = heldRange(it.range.range.first);
+        if (!now || now->range.token.sequence != it.range.token.sequence) {
+            release(it);
+        }
+    }
+    return gained;
 }
 
 void RequestLedger::renewUntil(Instant termEnd)
@@ -269,6 +281,15 @@
     return Keeper{m_assignment.servers[slice->owner], m_addresses[slice->owner], m_assignment.token(*slice)};
 }
 
+std::optional<Identity> KeeperMap::ownerOf(KeyHash hash) const
+{
+    const auto *slice = m_assignment.find(hash);
+    if (!slice || slice->owner == noServer) {
+        return {};
+    }
+    return m_assignment.servers[slice->owner];
+}
+
 std::vector<LedgerRange> KeeperMap::rangesOf(const Identity &identity) const
 {
     std::vector<LedgerRange> ranges;
--- a/src/requests/requestkeeper.cpp
+++ b/src/requests/requestkeeper.cpp
@@ -1,14 +1,30 @@
 #include <galenarock/requestkeeper.h>
 
+#include <algorithm>
+
+#include "ledgermessages_p.h"
+
 namespace Galenarock
 {
 
+namespace
+{
+constexpr Duration FetchInterval = milliseconds(50);
+/// One exchange takes 3 ms between failure domains; half a second covers a lost message and a late revoke.
+constexpr Duration FetchLimit = milliseconds(500);
+}
+
 RequestKeeper::RequestKeeper(Identity self)
     : m_self(std::move(self))
     , m_holder(std::string(ledgerService), m_self.boot, randomNonce())
 {
 }
 
+void RequestKeeper::setSendHook(SendHook hook)
+{
+    m_send = std::move(hook);
+}
+
 GrantReply RequestKeeper::handleGrant(Instant now, WallMilliseconds wallNow, const GrantRequest &request)
 {
     const std::lock_guard lock(m_mutex);
@@ -18,27 +34,126 @@
     for (const auto &it : m_holder.held(now)) {
         ranges.push_back({it.range, Token{m_holder.epoch(), it.sequence}});
     }
-    m_ledger.setRanges(wallNow, ranges);
+    for (const auto &it : m_ledger.setRanges(wallNow, ranges)) {
+        startFetch(now, it);
+    }
     m_ledger.renewUntil(m_holder.termEnd());
     return reply.value_or(GrantReply{});
 }
 
+void RequestKeeper::startFetch(Instant now, const LedgerRange &range)
+{
+    const auto former = formerKeeper(range.range);
+    if (!former) {
+        return;
+    }
+    m_fetches.push_back({range, *former, now + FetchInterval, now + FetchLimit});
+    m_send({former->name, LedgerMessage::Fetch, encode(range)});
+}
+
+std::optional<Identity> RequestKeeper::formerKeeper(const SliceRange &range) const
+{
+    for (auto it = m_keepers.rbegin(); it != m_keepers.rend(); ++it) {
+        const auto identity = it->ownerOf(range.first);
+        if (identity && *identity != m_self) {
+            return identity;
+        }
+    }
+    return {};
+}
+
+bool RequestKeeper::isFetching(Instant now, KeyHash hash) const
+{
+    return std::any_of(m_fetches.begin(), m_fetches.end(),
+                       [&](const Fetch &it) { return it.range.range.contains(hash) && now < it.endsAt; });
+}
+
+void RequestKeeper::tick(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fetches.erase(
+        std::remove_if(m_fetches.begin(), m_fetches.end(), [&](const Fetch &it) { return now >= it.endsAt; }),
+        m_fetches.end());
+    for (auto &it : m_fetches) {
+        if (now < it.nextAt) {
+            continue;
+        }
+        it.nextAt = now + FetchInterval;
+        m_send({it.former.name, LedgerMessage::Fetch, encode(it.range)});
+    }
+}
+
+bool RequestKeeper::handlePeer(const PeerEvent &event)
+{
+    if (event.type == LedgerMessage::Fetch) {
+        return answerFetch(event);
+    }
+    return event.type == LedgerMessage::Records && receiveRecords(event);
+}
+
+bool RequestKeeper::answerFetch(const PeerEvent &event)
+{
+    const auto range = tryOr([&]() -> Result<std::optional<LedgerRange>> { return decodeLedgerRange(event.payload); },
+                             [](ErrorCode, const std::string &) { return std::optional<LedgerRange>(); });
+    if (!range) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (const auto handover = m_ledger.handOver(*range)) {
+        m_send({event.sender.name, LedgerMessage::Records, encode(*handover)});
+    }
+    return true;
+}
+
+bool RequestKeeper::receiveRecords(const PeerEvent &event)
+{
+    const auto handover =
+        tryOr([&]() -> Result<std::optional<LedgerHandover>> { return decodeLedgerHandover(event.payload); },
+              [](ErrorCode, const std::string &) { return std::optional<LedgerHandover>(); });
+    if (!handover) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto fetch = std::find_if(m_fetches.begin(), m_fetches.end(), [&](const Fetch &it) {
+        return it.range.range == handover->range && it.former == event.sender;
+    });
+    if (fetch != m_fetches.end()) {
+        m_ledger.takeOver(*handover);
+        m_fetches.erase(fetch);
+    }
+    return true;
+}
+
+void RequestKeeper::drain(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_holder.drain(now);
+}
+
 void RequestKeeper::setKeepers(KeeperMap keepers)
 {
     const std::lock_guard lock(m_mutex);
-    m_keepers = std::move(keepers);
+    m_keepers.push_back(std::move(keepers));
+    if (m_keepers.size() > maxKeeperMaps) {
+        m_keepers.pop_front();
+    }
 }
 
 std::optional<KeeperMap::Keeper> RequestKeeper::keeper(const RequestId &id) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_keepers.keeper(id);
+    return m_keepers.empty() ? std::nullopt : m_keepers.back().keeper(id);
 }
 
 LedgerDecision RequestKeeper::begin(Instant now, WallMilliseconds wallNow, const RequestId &id)
 {
     const std::lock_guard lock(m_mutex);
-    return m_ledger.begin(now, wallNow, id);
+    auto decision = m_ledger.begin(now, wallNow, id);
+    if (decision.verdict == LedgerVerdict::TooOld && isFetching(now, hashOf(id))) {
+        decision.verdict = LedgerVerdict::NotKeeper;
+        decision.refusal = Refusal{Reason::KeeperUnavailable, Outcome::NotRun, "records are being handed over", 0};
+    }
+    return decision;
 }
 
 void RequestKeeper::answered(const RequestId &id, RecordedResponse response)
