--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the galenarock library.
 #include <galenarock/assignment.h>
 #include <galenarock/base.h>
+#include <galenarock/config.h>
 #include <galenarock/control.h>
 #include <galenarock/document.h>
 #include <galenarock/error.h>
