--- a/src/config/tests/memorycluster_p.h
+++ b/src/config/tests/memorycluster_p.h
@@ -158,6 +158,7 @@
     std::map<std::pair<ObjectKey, std::uint64_t>, double> lastDelay;
     std::uint64_t reverts = 0;
     std::uint64_t vmListRevision = 1;
+    std::vector<std::string> suspected; ///< Name of the member, for each suspicion raised.
     std::function<std::uint64_t()> cpuClock;
     std::map<std::uint16_t, std::uint64_t> bytesByType;
 
@@ -274,10 +275,19 @@
         for (const auto &it : actions) {
             if (const auto *message = std::get_if<SendPeerAction>(&it)) {
                 deliver(daemon, *message);
+            } else if (const auto *decision = std::get_if<DecisionAction>(&it)) {
+                noteSuspicion(*decision);
             }
         }
     }
 
+    void noteSuspicion(const DecisionAction &decision)
+    {
+        if (decision.event.name == "member-suspected") {
+            suspected.push_back(decision.text.substr(0, decision.text.find('#')));
+        }
+    }
+
     void putInForce(Daemon &daemon, const StoredObject &object)
     {
         auto &version = daemon.inForce[object.key];
