--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -4,6 +4,7 @@
 #include <galenarock/admission.h>
 #include <galenarock/assignment.h>
 #include <galenarock/base.h>
+#include <galenarock/config.h>
 #include <galenarock/control.h>
 #include <galenarock/document.h>
 #include <galenarock/error.h>
