Run the configuration core in the daemon

Cause: every daemon watched the platform and adopted documents on its own. Change: two relays per failure domain watch; documents and assignments come from the configuration core, whose versions never fall.

--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -28,6 +28,28 @@
     return membership;
 }
 
+ConfigSettings configSettings(const ControlPlaneSettings &settings)
+{
+    ConfigSettings config;
+    config.self = settings.self;
+    config.failureDomain = settings.failureDomain;
+    config.seed = settings.seed;
+    return config;
+}
+
+nlohmann::json reportsJson(const ConfigCore &config)
+{
+    auto json = nlohmann::json::object();
+    for (const auto &report : config.reports()) {
+        auto lagging = nlohmann::json::object();
+        for (const auto &it : report.lagging) {
+            lagging[it.key.kind + "/" + it.key.name] = it.version;
+        }
+        json[report.vm] = {{"current", report.isCurrent}, {"lagging", std::move(lagging)}};
+    }
+    return json;
+}
+
 nlohmann::json memberJson(const Member &member)
 {
     constexpr const char *names[] = {"alive", "suspect", "dead", "leaving"};
@@ -76,6 +98,7 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_membership(membershipSettings(m_settings))
+    , m_config(configSettings(m_settings))
     , m_shards([this](const ServiceDocument &document) { return shardSettings(document); })
     , m_status(std::make_shared<const nlohmann::json>(nlohmann::json::object()))
 {
@@ -178,15 +201,20 @@
 void ControlPlane::step(Instant now, const ControlEvent &event)
 {
     carryOut(now, m_membership.step(now, event));
+    carryOut(now, m_config.step(now, event));
     carryOut(now, m_shards.step(now, event));
-    if (const auto *object = std::get_if<ObjectEvent>(&event)) {
-        adopt(now, object->object);
+    for (const auto &it : m_config.takeChanged()) {
+        adopt(now, it);
     }
 }
 
 void ControlPlane::adopt(Instant now, const StoredObject &object)
 {
-    if (object.key.kind != ObjectKind::Service || !m_documents.apply(object)) {
+    if (object.key.kind != ObjectKind::Service) {
+        carryOut(now, m_shards.step(now, ObjectEvent{object, false}));
+        return;
+    }
+    if (!m_documents.apply(object)) {
         return;
     }
     m_dirty = true;
@@ -244,8 +272,8 @@
         m_dirty = false;
         publishSnapshot(now);
     }
-    if (!m_isRelay) {
-        m_isRelay = true;
+    if (m_config.wantsWatch() != m_isRelay) {
+        m_isRelay = m_config.wantsWatch();
         m_hooks.relayChanged(m_isRelay);
     }
     if (now >= m_nextStatus) {
@@ -279,7 +307,9 @@
                         {"failureDomain", m_settings.failureDomain},
                         {"version", GALENAROCK_VERSION},
                         {"configuration", m_documents.versions()},
-                        {"relay", m_isRelay}};
+                        {"relay", m_isRelay},
+                        {"missingConfiguration", m_config.missingReason()},
+                        {"reports", reportsJson(m_config)}};
     json["members"] = nlohmann::json::array();
     for (const auto &it : m_members) {
         json["members"].push_back(memberJson(it));
--- a/src/daemon/controlplane_p.h
+++ b/src/daemon/controlplane_p.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include <galenarock/config.h>
 #include <galenarock/control.h>
 #include <galenarock/membership.h>
 #include <galenarock/routing.h>
@@ -89,6 +90,7 @@
     ControlPlaneSettings m_settings;
     ControlPlaneHooks m_hooks;
     MembershipCore m_membership;
+    ConfigCore m_config;
     ShardSet m_shards;
     DocumentSet m_documents;
     DecisionLog m_decisions;
