Keep ledger ranges through a change of coordinator

Cause: a daemon that takes the mandate over grants the same ranges under new sequences; every keeper took that for a takeover and refused ids of the last 2 s as unknown. Change: a range counts as held without interruption from the sequence that the grant holder reports, not only under an equal sequence. Ruled out: keeping sequences at a takeover; they fence the old pair.

--- a/include/galenarock/grantholder.h
+++ b/include/galenarock/grantholder.h
@@ -75,6 +75,8 @@
 
     /// Slices held under a running term, sorted.
     std::vector<GrantedSlice> held(Instant now) const;
+    /// Lowest sequence under which the slice of `hash` has been held without interruption; 0 when it is not held.
+    std::uint64_t heldSince(Instant now, KeyHash hash) const;
     Instant termEnd() const
     {
         return m_termEnd;
--- a/include/galenarock/ledger.h
+++ b/include/galenarock/ledger.h
@@ -113,7 +113,14 @@
 {
     SliceRange range;
     Token token;
+    /// Lowest sequence under which the keeper has held the range without interruption; a coordinator that takes the
+    /// mandate over grants the same ranges under new sequences. 0 means the token's.
+    std::uint64_t since = 0;
 
+    std::uint64_t firstSequence() const
+    {
+        return since == 0 ? token.sequence : since;
+    }
     friend bool operator==(const LedgerRange &a, const LedgerRange &b)
     {
         return a.range == b.range && a.token == b.token;
@@ -147,7 +154,7 @@
     explicit RequestLedger(LedgerSettings settings = {});
 
     /// The ranges granted to this daemon from now on. A range counts as held without interruption when all of it was
-    /// held before under the same sequences; otherwise its takeover time is `wallNow` and it is returned as gained.
+    /// held before without interruption; otherwise its takeover time is `wallNow` and it is returned as gained.
     std::vector<LedgerRange> setRanges(WallMilliseconds wallNow, const std::vector<LedgerRange> &ranges);
     /// The grant ends at this time unless renewed; begin() refuses afterwards. Measured on this daemon's own clock.
     void renewUntil(Instant termEnd);
--- a/src/ownership/grantholder.cpp
+++ b/src/ownership/grantholder.cpp
@@ -286,6 +286,12 @@
     }
 }
 
+std::uint64_t GrantHolder::heldSince(Instant now, KeyHash hash) const
+{
+    const auto *slice = now < m_termEnd ? find(hash) : nullptr;
+    return slice ? slice->since : 0;
+}
+
 std::vector<GrantedSlice> GrantHolder::held(Instant now) const
 {
     std::vector<GrantedSlice> slices;
--- a/src/requests/ledger.cpp
+++ b/src/requests/ledger.cpp
@@ -104,7 +104,7 @@
         if (it.range.range.last < position) {
             continue;
         }
-        if (it.range.range.first > position || it.range.token.sequence != range.token.sequence) {
+        if (it.range.range.first > position || it.range.token.sequence < range.firstSequence()) {
             return {};
         }
         takeover = std::max(takeover, it.takeover);
@@ -132,7 +132,7 @@
     std::swap(m_ranges, held);
     for (const auto &it : held) {
         const auto *now = heldRange(it.range.range.first);
-        if (!now || now->range.token.sequence != it.range.token.sequence) {
+        if (!now || now->range.firstSequence() > it.range.token.sequence) {
             release(it);
         }
     }
--- a/src/requests/requestkeeper.cpp
+++ b/src/requests/requestkeeper.cpp
@@ -32,7 +32,7 @@
     auto reply = m_holder.handle(now, request);
     std::vector<LedgerRange> ranges;
     for (const auto &it : m_holder.held(now)) {
-        ranges.push_back({it.range, Token{m_holder.epoch(), it.sequence}});
+        ranges.push_back({it.range, Token{m_holder.epoch(), it.sequence}, m_holder.heldSince(now, it.range.first)});
     }
     for (const auto &it : m_ledger.setRanges(wallNow, ranges)) {
         startFetch(now, it);
--- a/src/requests/tests/requestkeepertest.cpp
+++ b/src/requests/tests/requestkeepertest.cpp
@@ -127,3 +127,12 @@
     second.tick(start + milliseconds(600));
     EXPECT_EQ(second.begin(start + milliseconds(600), wallStart + 700, id).refusal->outcome, Outcome::Unknown);
 }
+
+// Guards against a change of coordinator, which grants the same ranges under new sequences, making fresh ids unknown.
+TEST_F(RequestKeeperTest, newSequenceForTheSameKeeperIsNoTakeover)
+{
+    ASSERT_TRUE(act(first, start, wallStart, GrantAction::Grant, 1).accepted);
+    const auto later = wallStart + 60'000;
+    ASSERT_TRUE(act(first, start + seconds(1), later, GrantAction::Grant, 5).accepted);
+    EXPECT_EQ(first.begin(start + seconds(1), later, idAt(later, 1)).verdict, LedgerVerdict::Accept);
+}
