Require empty rings before a stop only for pools that do not check

Cause: a daemon acknowledged a stop only while no grant call was open. Polls run each 400 ms and wait up to 600 ms for a frozen server, so with one frozen server the condition never held and its slices could not move. Ruled out: shorter poll timeouts; they make slow servers look lost. Conclusion: a checking server counts its term from the nonce, so a renewal that waits in a ring extends nothing beyond the bound in the stop's answer.

--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -112,7 +112,11 @@
     settings.shard = document.service;
     settings.document = document;
     settings.seed = m_settings.seed ^ hashKey(document.service);
-    settings.outgoingEmpty = m_hooks.outgoingEmpty;
+    if (!document.pool.checksGrants) {
+        // A server that checks refuses every renewal whose nonce is not the newest, and the term is counted from the
+        // nonce; so a renewal that still waits in a ring extends nothing beyond the bound that the stop reports.
+        settings.outgoingEmpty = m_hooks.outgoingEmpty;
+    }
     return settings;
 }
 
