--- a/src/ownership/moves.cpp
+++ b/src/ownership/moves.cpp
@@ -214,7 +214,11 @@
         || !std::all_of(group.wanted.begin(), group.wanted.end(), isWell)) {
         return false;
     }
-    return !isUsable(*owner) || m_revoking.size() + m_free.size() < maxBalanceMoves;
+    const bool isForBalance = isUsable(*owner);
+    if (isForBalance && !m_stops.empty()) {
+        return false;
+    }
+    return !isForBalance || m_revoking.size() + m_free.size() < maxBalanceMoves;
 }
 
 void Shard::revoke(const SliceAssignment &slice)
@@ -290,14 +294,19 @@
     if (!stored || stored->epoch != epoch()) {
         return;
     }
-    if (!m_stamped) {
-        m_activeSince = m_now;
-    }
-    m_stamped = true;
     overlayDarkMoves(*stored);
     decide(OwnershipEvents::AssignmentWritten, {}, "epoch {} next sequence {} version {}", stored->epoch,
            stored->nextSequence, object.version);
     setLive(std::move(*stored));
+    if (m_stamped) {
+        return;
+    }
+    m_stamped = true;
+    m_activeSince = m_now;
+    // Servers that were fenced before the write was acknowledged may hold slices since the last outage.
+    for (const auto &[name, server] : m_servers) {
+        adoptHeld(server);
+    }
 }
 
 void Shard::overlayDarkMoves(Assignment &assignment) const
--- a/src/ownership/servers.cpp
+++ b/src/ownership/servers.cpp
@@ -9,6 +9,9 @@
 {
 /// A record without a listing, a slice and a reply is dropped after this time.
 constexpr Duration forgetAfter = seconds(60);
+/// Only one call is under way to a server: with two, each reply replaces the nonce that the other call carries, and
+/// both would be refused without end. A call without a result is given up after this time.
+constexpr Duration callPatience = milliseconds(350);
 }
 
 bool Shard::isResponsive(const ServerRecord &server) const
@@ -61,9 +64,20 @@
 void Shard::sendCall(ServerRecord &server, GrantRequest request)
 {
     server.lastSentAt = m_now;
+    server.callSentAt = m_now;
+    server.needsCall = false;
+    if (request.action == GrantAction::Renew || request.action == GrantAction::Grant) {
+        // A nonce serves for one call: the reply to the first one replaces it, so a second one would be refused.
+        server.nonce = 0;
+    }
     act(CallServerAction{server.vm.name, server.vm.address, std::move(request)});
 }
 
+bool Shard::isCalling(const ServerRecord &server) const
+{
+    return server.callSentAt && m_now < *server.callSentAt + callPatience;
+}
+
 void Shard::callServer(ServerRecord &server)
 {
     const bool isSilent = server.boot == 0 || server.nonce == 0;
@@ -79,10 +93,16 @@
 void Shard::on(const GrantReplyEvent &event)
 {
     const auto it = m_servers.find(event.server);
-    if (it == m_servers.end() || !event.reply || event.request.sender != m_settings.self) {
+    if (it == m_servers.end() || event.request.sender != m_settings.self) {
         return;
     }
     auto &server = it->second;
+    if (event.request.action != GrantAction::Revoke && server.callSentAt && event.sentAt >= *server.callSentAt) {
+        server.callSentAt.reset();
+    }
+    if (!event.reply) {
+        return;
+    }
     learnBoot(server, event);
     if (event.reply->boot != server.boot) {
         return;
@@ -97,10 +117,8 @@
         return onRevokeReply(event);
     }
     const bool isRefusedNonce = event.reply->reason == "old-nonce";
-    const bool needsFollowUp = event.request.action == GrantAction::Fence || event.request.boot == 0 || isRefusedNonce;
-    if (!isLate && needsFollowUp && role() != ShardRole::None) {
-        callServer(server);
-    }
+    const bool isIdle = event.request.action == GrantAction::Poll || event.request.action == GrantAction::Fence;
+    server.needsCall = !isLate && (isIdle || isRefusedNonce);
 }
 
 void Shard::learnBoot(ServerRecord &server, const GrantReplyEvent &event)
@@ -121,10 +139,11 @@
 {
     server.lastReplyAt = m_now;
     server.nonceAt = m_now;
-    server.epoch = std::max(server.epoch, event.reply->epoch);
     if (event.sentAt < server.repliedSentAt) {
         return;
     }
+    // Taken together with what the server holds: a server counts as fenced only once its slices were looked at.
+    server.epoch = std::max(server.epoch, event.reply->epoch);
     server.repliedSentAt = event.sentAt;
     server.nonce = event.reply->nonce;
     server.state = event.reply->state;
@@ -164,22 +183,28 @@
     return missing;
 }
 
+void Shard::sendFollowUps()
+{
+    for (auto &[name, server] : m_servers) {
+        if (server.needsCall && !isCalling(server) && isEntitled() && !isStopped(server.identity())) {
+            callServer(server);
+        }
+    }
+}
+
 void Shard::sendGrants()
 {
     for (auto &[name, server] : m_servers) {
-        const bool wasCalled = server.grantSentAt && m_now < *server.grantSentAt + resendInterval
-            && server.repliedSentAt < *server.grantSentAt;
-        if (wasCalled || !isResponsive(server) || server.epoch != epoch() || isStopped(server.identity())
-            || server.state == ServerState::Draining) {
+        if (server.nonce == 0 || isCalling(server) || !isResponsive(server) || server.epoch != epoch()
+            || isStopped(server.identity()) || server.state == ServerState::Draining) {
             continue;
         }
         auto missing = missingGrants(server);
-        if (missing.empty() || (server.grantSentAt && server.grantSentAt == m_now)) {
+        if (missing.empty()) {
             continue;
         }
         auto request = requestFor(server, GrantAction::Grant);
         request.slices = std::move(missing);
-        server.grantSentAt = m_now;
         sendCall(server, std::move(request));
     }
 }
--- a/src/ownership/shard.cpp
+++ b/src/ownership/shard.cpp
@@ -32,6 +32,7 @@
     m_actions = &actions;
     std::visit([this](const auto &it) { on(it); }, event);
     reconcile();
+    sendFollowUps();
     m_actions = nullptr;
     return actions;
 }
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -47,7 +47,10 @@
     /// Sending time of the newest call whose reply was used.
     Instant repliedSentAt;
     std::optional<Instant> lastSentAt;
-    std::optional<Instant> grantSentAt;
+    /// The last reply asks for another call before the next renewal is due.
+    bool needsCall = false;
+    /// Sending time of the call that is under way; revokes do not count.
+    std::optional<Instant> callSentAt;
 
     Identity identity() const
     {
@@ -135,6 +138,7 @@
     // servers.cpp: R1 to R3
     void tickServers();
     void callServer(ServerRecord &server);
+    bool isCalling(const ServerRecord &server) const;
     GrantRequest requestFor(const ServerRecord &server, GrantAction action) const;
     void sendCall(ServerRecord &server, GrantRequest request);
     bool isResponsive(const ServerRecord &server) const;
@@ -144,6 +148,7 @@
     void learnReply(ServerRecord &server, const GrantReplyEvent &event);
     void onRevokeReply(const GrantReplyEvent &event);
     void sendGrants();
+    void sendFollowUps();
     std::vector<GrantedSlice> missingGrants(const ServerRecord &server) const;
 
     // stops.cpp: R4, R5, R9
