--- a/src/ownership/tests/shardfakes_p.h
+++ b/src/ownership/tests/shardfakes_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
