Add route permits for pools that do not check grants; close a gap in takeover

Cause: R10 was missing. Change: permits of the coordinator and the deputy, slice stops that every daemon acknowledges after its requests of the slice have ended, no moves along the succession for such pools. A server that the new pair has not reached counts as cleared only after its own deputy has stopped as well, or has reported what the server holds. Ruled out: moves along the succession for such pools, because no server can tell the next coordinator of them.

--- a/src/ownership/events_p.h
+++ b/src/ownership/events_p.h
@@ -23,5 +23,6 @@
 inline constexpr EventType SliceRevoking{316, Severity::Info, "slice-revoking"};
 inline constexpr EventType StopRefused{317, Severity::Warning, "stop-refused"};
 inline constexpr EventType StaleHolding{318, Severity::Warning, "stale-holding-revoked"};
+inline constexpr EventType SliceStopped{320, Severity::Info, "slice-stopped"};
 inline constexpr EventType FormerMemberStopped{319, Severity::Info, "former-member-stopped"};
 }
--- a/src/ownership/mandate.cpp
+++ b/src/ownership/mandate.cpp
@@ -310,6 +310,7 @@
     m_roleBefore = role();
     m_epochSince = m_now;
     m_stops.clear();
+    m_reported.clear();
     m_stopCounter = 0;
     m_deputyCounter = 0;
     m_former = std::set<Identity>(mandate.former.begin(), mandate.former.end());
@@ -317,6 +318,8 @@
     m_formerBound = m_now;
     m_stamped = false;
     m_revoking.clear();
+    m_sliceStops.clear();
+    m_sliceStopCounter = 0;
     m_contactNonce = 0;
     if (mandate.coordinator != m_settings.self || m_roleBefore != ShardRole::Coordinator) {
         m_contactAt.reset();
--- a/src/ownership/messages_p.h
+++ b/src/ownership/messages_p.h
@@ -26,6 +26,8 @@
     PermitQuery,
     PermitAnswer,
     AssignmentDigest,
+    SliceStopRequest,
+    SliceStopAck,
 };
 
 /// The mandate object and the assignment in effect, each as JSON text; the text is empty when it is not known.
@@ -58,6 +60,20 @@
     }
 };
 
+/// What a server answered to the deputy; the lists have one entry for each slice held.
+struct ServerReport
+{
+    std::string server;
+    std::uint32_t epoch = 0;
+    std::vector<std::uint64_t> first;
+    std::vector<std::uint64_t> last;
+    std::vector<std::uint64_t> sequences;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(server, epoch, first, last, sequences);
+    }
+};
+
 struct StopAck
 {
     static constexpr Type type = Type::StopAck;
@@ -70,7 +86,7 @@
     /// For each server, time since the sender received its last nonce that a renewal may have carried; -1 for never.
     std::vector<std::int64_t> nonceAgeMs;
     /// Servers that the sender still reaches and therefore goes on renewing.
-    std::vector<std::string> refused;
+    std::vector<ServerReport> refused;
     template<typename Archive> void serialize(Archive &archive)
     {
         archive(shard, epoch, counter, allStopped, servers, nonceAgeMs, refused);
@@ -117,6 +133,66 @@
     }
 };
 
+struct PermitQuery
+{
+    static constexpr Type type = Type::PermitQuery;
+    std::string shard;
+    std::uint64_t nonce = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(shard, nonce);
+    }
+};
+
+/// Permission to route for a term, counted from the sending of the query, by an assignment not older than
+/// (epoch, nextSequence) and without the slices of `stops`.
+struct PermitAnswer
+{
+    static constexpr Type type = Type::PermitAnswer;
+    std::string shard;
+    std::uint64_t nonce = 0;
+    std::uint32_t epoch = 0;
+    std::uint64_t nextSequence = 0;
+    std::uint64_t stopCounter = 0;
+    std::vector<std::uint64_t> stops;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(shard, nonce, epoch, nextSequence, stopCounter, stops);
+    }
+};
+
+/// Asks every daemon to route the slices to nobody; the lists have one entry for each slice.
+struct SliceStopRequest
+{
+    static constexpr Type type = Type::SliceStopRequest;
+    std::string shard;
+    std::uint32_t epoch = 0;
+    std::uint64_t counter = 0;
+    std::vector<std::uint64_t> sequences;
+    std::vector<std::uint64_t> first;
+    std::vector<std::uint64_t> last;
+    std::vector<std::string> servers;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(shard, epoch, counter, sequences, first, last, servers);
+    }
+};
+
+/// Slices that the sender does not route and of which none of its requests may still run.
+struct SliceStopAck
+{
+    static constexpr Type type = Type::SliceStopAck;
+    std::string shard;
+    std::uint32_t epoch = 0;
+    std::vector<std::uint64_t> sequences;
+    /// Daemons (`name#boot`) with a running permit from the sender.
+    std::vector<std::string> holders;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(shard, epoch, sequences, holders);
+    }
+};
+
 template<typename Message> std::string encode(const Message &message)
 {
     std::ostringstream buf;
--- a/src/ownership/moves.cpp
+++ b/src/ownership/moves.cpp
@@ -128,7 +128,8 @@
         }
     }
     const bool isChanged = usable != m_wantedUsable || m_wanted.empty();
-    const bool isBusy = !m_revoking.empty() || !m_free.empty() || m_assignmentWriter.isPending();
+    const bool isBusy =
+        !m_revoking.empty() || !m_sliceStops.empty() || !m_free.empty() || m_assignmentWriter.isPending();
     if (!isChanged && (isBusy || m_now < m_plannedAt + replanInterval)) {
         return;
     }
@@ -176,7 +177,8 @@
         };
         const bool stays = std::all_of(group.wanted.begin(), group.wanted.end(), staysWith);
         const bool isFree = it->owner == noServer || m_free.count(it->sequence) != 0;
-        return isClear(*it) && (isFree || (stays && m_revoking.count(it->sequence) == 0));
+        const bool isMoving = m_revoking.count(it->sequence) != 0 || m_sliceStops.count(it->sequence) != 0;
+        return isClear(*it) && (isFree || (stays && !isMoving));
     };
     return std::all_of(group.wanted.begin(), group.wanted.end(), isWell)
         && std::all_of(group.current.begin(), group.current.end(), canChange);
@@ -202,7 +204,8 @@
 
 bool Shard::mayRevoke(const SliceAssignment &slice, const SliceGroup &group) const
 {
-    if (slice.owner == noServer || m_free.count(slice.sequence) != 0 || m_revoking.count(slice.sequence) != 0) {
+    if (slice.owner == noServer || m_free.count(slice.sequence) != 0 || m_revoking.count(slice.sequence) != 0
+        || m_sliceStops.count(slice.sequence) != 0) {
         return false;
     }
     const auto isWell = [&](const WantedSlice *it) {
@@ -210,23 +213,36 @@
         return record && isUsable(*record);
     };
     const auto *const owner = recordOf(ownerOf(slice));
-    if (!owner || !isResponsive(*owner) || owner->epoch != epoch() || !isClear(slice)
+    const bool canAnswer = owner && isResponsive(*owner) && owner->epoch == epoch();
+    if ((checksGrants() && !canAnswer) || !isClear(slice)
         || !std::all_of(group.wanted.begin(), group.wanted.end(), isWell)) {
         return false;
     }
-    const bool isForBalance = isUsable(*owner);
-    if (isForBalance && !m_stops.empty()) {
+    const bool isForBalance = owner && isUsable(*owner);
+    const auto isOwnerStopped = [&](const SliceAssignment &it) {
+        return isStopped(ownerOf(it));
+    };
+    const auto isAlive = [](const Member &it) {
+        return it.status == MemberStatus::Alive;
+    };
+    // A move for balance is not worth a slice that stays unowned until a lost server or daemon is replaced.
+    if (isForBalance
+        && (std::any_of(m_live->slices.begin(), m_live->slices.end(), isOwnerStopped)
+            || !std::all_of(m_members.begin(), m_members.end(), isAlive))) {
         return false;
     }
-    return !isForBalance || m_revoking.size() + m_free.size() < maxBalanceMoves;
+    return !isForBalance || m_revoking.size() + m_free.size() + m_sliceStops.size() < maxBalanceMoves;
 }
 
 void Shard::revoke(const SliceAssignment &slice)
 {
+    decide(OwnershipEvents::SliceRevoking, slice.range, "owner {}", toString(ownerOf(slice)));
+    if (!checksGrants()) {
+        return startSliceStop(slice);
+    }
     m_revoking[slice.sequence] = {ownerOf(slice), slice.range, m_now - revokeResendInterval};
     const double share = static_cast<double>(slice.range.last - slice.range.first) / static_cast<double>(~KeyHash(0));
     m_churnBudget = std::max(0.0, m_churnBudget - share);
-    decide(OwnershipEvents::SliceRevoking, slice.range, "owner {}", toString(ownerOf(slice)));
 }
 
 void Shard::resendRevokes()
@@ -344,6 +360,7 @@
     for (auto it = m_revoking.begin(); it != m_revoking.end();) {
         it = present.count(it->first) != 0 ? std::next(it) : m_revoking.erase(it);
     }
+    pruneSliceStops(present);
     m_darkMoves.clear();
     for (const auto &it : assignment.slices) {
         const auto *const known = stored ? stored->find(it.range.first) : nullptr;
@@ -376,7 +393,7 @@
 
 void Shard::moveAlongSuccession()
 {
-    if (!m_downSince || m_free.empty()) {
+    if (!m_downSince || m_free.empty() || !checksGrants()) {
         return;
     }
     auto next = *m_live;
@@ -434,11 +451,11 @@
 
 void Shard::adoptHeld(const ServerRecord &server)
 {
-    if (!isActive() || server.epoch != epoch()) {
+    if (!isActive() || server.epoch != epoch() || !checksGrants()) {
         return;
     }
     for (const auto &held : server.held) {
-        if (adoptSuccessor(server, held)) {
+        if (adoptSuccessor(server.identity(), held)) {
             continue;
         }
         const auto *const slice = m_live->find(held.range.first);
@@ -453,14 +470,14 @@
     }
 }
 
-bool Shard::adoptSuccessor(const ServerRecord &server, const GrantedSlice &held)
+bool Shard::adoptSuccessor(const Identity &server, const GrantedSlice &held)
 {
     const auto *const slice = m_live->find(held.range.first);
     if (!slice || !(slice->range == held.range) || held.sequence <= slice->sequence) {
         return false;
     }
     const auto steps = held.sequence - slice->sequence;
-    if (steps > slice->successors.size() || serverOf(*m_live, slice->successors[steps - 1]) != server.identity()) {
+    if (steps > slice->successors.size() || serverOf(*m_live, slice->successors[steps - 1]) != server) {
         return false;
     }
     auto next = *m_live;
@@ -473,7 +490,7 @@
         it.successors.erase(it.successors.begin(), it.successors.begin() + static_cast<std::ptrdiff_t>(steps));
     }
     ++next.nextSequence;
-    decide(OwnershipEvents::SuccessorAdopted, held.range, "{} under {}", toString(server.identity()), held.sequence);
+    decide(OwnershipEvents::SuccessorAdopted, held.range, "{} under {}", toString(server), held.sequence);
     setLive(std::move(next));
     return true;
 }
--- a/src/ownership/servers.cpp
+++ b/src/ownership/servers.cpp
@@ -23,7 +23,7 @@
 bool Shard::isUsable(const ServerRecord &server) const
 {
     return server.listed && server.vm.state == VmState::Live && server.state != ServerState::Draining
-        && isResponsive(server) && server.epoch == epoch();
+        && isResponsive(server) && (!checksGrants() || server.epoch == epoch());
 }
 
 const ServerRecord *Shard::recordOf(const Identity &server) const
@@ -81,7 +81,7 @@
 void Shard::callServer(ServerRecord &server)
 {
     const bool isSilent = server.boot == 0 || server.nonce == 0;
-    if (isSilent || !isEntitled() || isStopped(server.identity())) {
+    if (isSilent || !checksGrants() || !isEntitled() || isStopped(server.identity())) {
         return sendCall(server, requestFor(server, GrantAction::Poll));
     }
     if (server.epoch < epoch()) {
@@ -118,7 +118,7 @@
     }
     const bool isRefusedNonce = event.reply->reason == "old-nonce";
     const bool isIdle = event.request.action == GrantAction::Poll || event.request.action == GrantAction::Fence;
-    server.needsCall = !isLate && (isIdle || isRefusedNonce);
+    server.needsCall = checksGrants() && !isLate && (isIdle || isRefusedNonce);
 }
 
 void Shard::learnBoot(ServerRecord &server, const GrantReplyEvent &event)
@@ -194,6 +194,9 @@
 
 void Shard::sendGrants()
 {
+    if (!checksGrants()) {
+        return;
+    }
     for (auto &[name, server] : m_servers) {
         if (server.nonce == 0 || isCalling(server) || !isResponsive(server) || server.epoch != epoch()
             || isStopped(server.identity()) || server.state == ServerState::Draining) {
--- a/src/ownership/shard.cpp
+++ b/src/ownership/shard.cpp
@@ -58,6 +58,7 @@
     tickMandate();
     tickServers();
     tickStops();
+    tickPermits();
     tickSpread();
 }
 
@@ -151,8 +152,13 @@
     case Type::AssignmentDigest:
         return onMessage<OwnershipMessages::AssignmentDigest>(event);
     case Type::PermitQuery:
+        return onMessage<OwnershipMessages::PermitQuery>(event);
     case Type::PermitAnswer:
-        return;
+        return onMessage<OwnershipMessages::PermitAnswer>(event);
+    case Type::SliceStopRequest:
+        return onMessage<OwnershipMessages::SliceStopRequest>(event);
+    case Type::SliceStopAck:
+        return onMessage<OwnershipMessages::SliceStopAck>(event);
     }
 }
 
@@ -173,11 +179,6 @@
     return m_published ? &*m_published : nullptr;
 }
 
-std::optional<Instant> Shard::routePermitEnd() const
-{
-    return {};
-}
-
 ShardController::ShardController(ShardSettings settings)
     : m_shard(std::make_unique<Shard>(std::move(settings)))
 {
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -76,6 +76,14 @@
     Instant sentAt;
 };
 
+/// Pools that do not check grants: a slice that the daemons have to stop routing.
+struct SliceStop
+{
+    SliceRange range;
+    Identity server;
+    std::set<Identity> acknowledged;
+};
+
 /// State and rules of ShardController; each source file implements one group of rules.
 class Shard
 {
@@ -163,6 +171,8 @@
     void stopAll(const PeerEvent &event, const OwnershipMessages::StopRequest &message);
     void removeFormer(const Identity &member);
     bool isStopped(const Identity &server) const;
+    bool hasPairStopped(const Identity &server) const;
+    void learnReport(const OwnershipMessages::ServerReport &report);
     bool hasLapsed(const Identity &server) const;
     bool isCleared(const Identity &server) const;
     bool isClear(const SliceAssignment &slice) const;
@@ -190,12 +200,33 @@
     bool moveToSuccessor(SliceAssignment &slice);
     bool pendingAllows(const SliceAssignment &slice, const Identity &target) const;
     void adoptHeld(const ServerRecord &server);
-    bool adoptSuccessor(const ServerRecord &server, const GrantedSlice &held);
+    bool adoptSuccessor(const Identity &server, const GrantedSlice &held);
     void setLive(Assignment assignment);
     void markPlatformUp();
     void markPlatformDown();
     Identity ownerOf(const SliceAssignment &slice) const;
 
+    // permits.cpp: R10
+    bool checksGrants() const;
+    void tickPermits();
+    bool isIssuer() const;
+    void issueOwnPermit();
+    std::vector<Identity> pairMembers() const;
+    void receive(const PeerEvent &event, const OwnershipMessages::PermitQuery &message);
+    void receive(const PeerEvent &event, const OwnershipMessages::PermitAnswer &message);
+    void receive(const PeerEvent &event, const OwnershipMessages::SliceStopRequest &message);
+    void receive(const PeerEvent &event, const OwnershipMessages::SliceStopAck &message);
+    void learnSliceStops(std::uint32_t epoch, std::uint64_t counter, const std::vector<std::uint64_t> &sequences);
+    void publishRoutes();
+    void startSliceStop(const SliceAssignment &slice);
+    void sendSliceStops();
+    std::set<Identity> daemonsToStop() const;
+    bool mayRun(const Identity &server, const SliceRange &range) const;
+    void trackGoneDaemons();
+    bool isStoppedEverywhere(const SliceStop &stop) const;
+    void freeStoppedSlices();
+    void pruneSliceStops(const std::set<std::uint64_t> &present);
+
     // shardstatus.cpp
     std::vector<std::string> waitingFor() const;
 
@@ -241,6 +272,8 @@
     bool m_capLogged = false;
 
     std::map<Identity, StopRecord> m_stops;
+    /// Servers that obey the present epoch, as the deputy reported with what they hold.
+    std::set<Identity> m_reported;
     std::uint64_t m_stopCounter = 0;
     std::uint64_t m_deputyCounter = 0;
     std::uint64_t m_sentStopCounter = 0;
@@ -249,6 +282,22 @@
     Instant m_formerBound;
     Instant m_formerAskedAt;
 
+    /// Coordinator: slices that every daemon has to stop routing, by sequence.
+    std::map<std::uint64_t, SliceStop> m_sliceStops;
+    std::uint64_t m_sliceStopCounter = 0;
+    Instant m_sliceStopsSentAt;
+    std::map<Identity, Instant> m_permitHolders;
+    std::map<Identity, Instant> m_goneSince;
+    /// This daemon's permit and the slices that it does not route.
+    std::uint64_t m_permitNonce = 0;
+    Instant m_permitAskedAt;
+    Instant m_permitEnd = Instant::min();
+    std::uint32_t m_permitEpoch = 0;
+    std::uint64_t m_permitSequence = 0;
+    std::uint32_t m_routeStopEpoch = 0;
+    std::uint64_t m_routeStopCounter = 0;
+    std::set<std::uint64_t> m_routeStops;
+
     ObjectWriter m_assignmentWriter;
     /// The assignment in effect: acknowledged by the platform, with moves along the succession applied.
     std::optional<Assignment> m_live;
--- a/src/ownership/spread.cpp
+++ b/src/ownership/spread.cpp
@@ -26,7 +26,7 @@
         return;
     }
     m_published = assignment;
-    act(PublishAssignmentAction{assignment});
+    publishRoutes();
     sendUpdateToAll();
 }
 
--- a/src/ownership/stops.cpp
+++ b/src/ownership/stops.cpp
@@ -7,6 +7,19 @@
 
 namespace
 {
+OwnershipMessages::ServerReport reportOf(const ServerRecord &server)
+{
+    OwnershipMessages::ServerReport report;
+    report.server = toString(server.identity());
+    report.epoch = server.epoch;
+    for (const auto &it : server.held) {
+        report.first.push_back(it.range.first);
+        report.last.push_back(it.range.last);
+        report.sequences.push_back(it.sequence);
+    }
+    return report;
+}
+
 constexpr Duration formerAskInterval = milliseconds(400);
 }
 
@@ -29,6 +42,9 @@
     if (!isActive()) {
         return;
     }
+    if (!checksGrants()) {
+        return;
+    }
     suspectServers();
     resumeServers();
     sendStopRequests();
@@ -39,6 +55,12 @@
     std::set<Identity> owners;
     for (const auto &it : m_live->slices) {
         owners.insert(ownerOf(it));
+        for (const auto successor : it.successors) {
+            const auto server = serverOf(*m_live, successor);
+            if (!isCleared(server)) {
+                owners.insert(server);
+            }
+        }
     }
     for (const auto &it : owners) {
         const auto *const record = recordOf(it);
@@ -149,7 +171,7 @@
         }
         const auto *const record = recordOf(*server);
         if (!isStopped(*server) && record && record->listed && isResponsive(*record)) {
-            ack.refused.push_back(text);
+            ack.refused.push_back(reportOf(*record));
             continue;
         }
         StopRecord stop;
@@ -192,6 +214,9 @@
     if (message.refused.empty()) {
         m_deputyCounter = message.counter;
     }
+    for (const auto &it : message.refused) {
+        learnReport(it);
+    }
     for (std::size_t n = 0; n < message.servers.size(); ++n) {
         const auto server = parseIdentity(message.servers[n]);
         const auto it = server ? m_stops.find(*server) : m_stops.end();
@@ -205,8 +230,48 @@
     }
 }
 
+void Shard::learnReport(const OwnershipMessages::ServerReport &report)
+{
+    const auto server = parseIdentity(report.server);
+    const auto n = report.sequences.size();
+    if (!server || !isActive() || report.epoch != epoch() || report.first.size() != n || report.last.size() != n) {
+        return;
+    }
+    for (std::size_t it = 0; it < n; ++it) {
+        adoptSuccessor(*server, {{report.first[it], report.last[it]}, report.sequences[it]});
+    }
+    m_reported.insert(*server);
+}
+
+bool Shard::hasPairStopped(const Identity &server) const
+{
+    const auto it = m_stops.find(server);
+    if (it == m_stops.end() || !outgoingEmpty()) {
+        return false;
+    }
+    const auto &stop = it->second;
+    if (m_mandate->deputy && !stop.deputyStopped) {
+        return false;
+    }
+    const auto ends = [&](const std::optional<Instant> &bound) {
+        return !bound || m_now > *bound + lengthened(term());
+    };
+    return ends(stop.ownBound) && ends(stop.deputyBound);
+}
+
 bool Shard::isCleared(const Identity &server) const
 {
+    const bool hasFormerStopped = (m_former.empty() && m_now >= m_formerBound)
+        || m_now >= m_epochSince + lengthened(holdCap()) + lengthened(term());
+    if (!checksGrants()) {
+        // No server can say that it obeys the new pair only.
+        return hasFormerStopped;
+    }
+    // The own pair counts as well: the deputy may renew a server, under a token of the last outage, that this daemon
+    // has not reached.
+    if (m_reported.count(server) != 0 || (hasFormerStopped && hasPairStopped(server))) {
+        return true;
+    }
     const auto it = m_servers.find(server.name);
     if (it != m_servers.end()) {
         const auto &record = it->second;
@@ -214,13 +279,9 @@
         if (isOther || !record.listed || (record.boot == server.boot && record.epoch >= epoch())) {
             return true;
         }
-    } else if (m_vms.revision != 0) {
-        return true;
-    }
-    if (m_former.empty() && m_now >= m_formerBound) {
-        return true;
+        return false;
     }
-    return m_now >= m_epochSince + lengthened(holdCap()) + lengthened(term());
+    return m_vms.revision != 0;
 }
 
 bool Shard::isClear(const SliceAssignment &slice) const
@@ -238,22 +299,14 @@
     if (record != m_servers.end() && record->second.boot != 0 && record->second.boot != server.boot) {
         return true;
     }
-    const auto it = m_stops.find(server);
-    if (it == m_stops.end() || !outgoingEmpty() || !isCleared(server)) {
-        return false;
-    }
-    const auto &stop = it->second;
-    if (m_mandate->deputy && !stop.deputyStopped) {
-        return false;
-    }
-    const auto ends = [&](const std::optional<Instant> &bound) {
-        return !bound || m_now > *bound + lengthened(term());
-    };
-    return ends(stop.ownBound) && ends(stop.deputyBound);
+    return hasPairStopped(server) && isCleared(server);
 }
 
 void Shard::freeLostOwners()
 {
+    if (!checksGrants()) {
+        return;
+    }
     std::map<Identity, bool> lapsed;
     for (const auto &slice : m_live->slices) {
         const auto owner = ownerOf(slice);
--- a/src/ownership/tests/shardfakes.cpp
+++ b/src/ownership/tests/shardfakes.cpp
@@ -13,8 +13,9 @@
 constexpr Duration tick = milliseconds(50);
 }
 
-Cluster::Cluster(int daemonCount, int serverCount)
+Cluster::Cluster(int daemonCount, int serverCount, bool checksGrants)
 {
+    document.pool.checksGrants = checksGrants;
     document.service = "vitrina";
     document.distribution = Distribution::Keyed;
     document.ownership.slices = 32;
@@ -39,6 +40,13 @@
     settings.shard = document.service;
     settings.document = document;
     settings.seed = nextBoot;
+    settings.mayRun = [&daemon](const Identity &server, const SliceRange &range) {
+        return std::any_of(daemon.running.begin(), daemon.running.end(), [&](const auto &it) {
+            return it.second == server.name && range.contains(sample(it.first));
+        });
+    };
+    daemon.routes = {};
+    daemon.permitEnd.reset();
     daemon.controller = std::make_unique<ShardController>(std::move(settings));
 }
 
@@ -47,7 +55,8 @@
     auto &server = servers[name];
     server.dead = false;
     server.frozen = false;
-    server.holder = std::make_unique<GrantHolder>(document.service, nextBoot, nextBoot);
+    const GrantHolderOptions options{document.pool.checksGrants};
+    server.holder = std::make_unique<GrantHolder>(document.service, nextBoot, nextBoot, options);
     ++nextBoot;
 }
 
@@ -105,8 +114,11 @@
             send(name, *it);
         } else if (const auto *it = std::get_if<DecisionAction>(&action)) {
             daemons[name].decisions.push_back(*it);
+        } else if (const auto *it = std::get_if<PublishAssignmentAction>(&action)) {
+            daemons[name].routes = it->assignment;
         }
     }
+    daemons[name].permitEnd = daemons[name].controller->routePermitEnd();
 }
 
 void Cluster::at(Duration delay, std::function<void()> body)
@@ -216,8 +228,37 @@
     return count;
 }
 
+std::string Cluster::routeOf(const FakeDaemon &daemon, KeyHash hash) const
+{
+    const auto *const slice = daemon.routes.find(hash);
+    const bool mayRoute = !daemon.dead && !daemon.paused && daemon.permitEnd && now < *daemon.permitEnd;
+    return mayRoute && slice && slice->owner != noServer ? daemon.routes.servers[slice->owner].name : std::string();
+}
+
+void Cluster::judgeRoutes()
+{
+    for (std::size_t n = 0; n < sampledKeys; ++n) {
+        std::set<std::string> targets;
+        for (const auto &[name, it] : daemons) {
+            targets.insert(routeOf(it, sample(n)));
+            const auto running = it.running.find(n);
+            targets.insert(running != it.running.end() ? running->second : std::string());
+        }
+        targets.erase(std::string());
+        if (targets.size() > 1) {
+            violations.push_back(fmt::format("key {} is sent to {} servers", n, targets.size()));
+        }
+        const auto isServed = targets.size() == 1 && !servers[*targets.begin()].dead;
+        longestGap = std::max(longestGap, now - servedAt[n]);
+        servedAt[n] = isServed ? now : servedAt[n];
+    }
+}
+
 void Cluster::judge()
 {
+    if (!document.pool.checksGrants) {
+        return judgeRoutes();
+    }
     for (std::size_t n = 0; n < sampledKeys; ++n) {
         int owners = 0;
         bool isServed = false;
--- a/src/ownership/tests/shardfakes_p.h
+++ b/src/ownership/tests/shardfakes_p.h
@@ -66,6 +66,10 @@
     bool leaving = false;
     std::deque<ControlEvent> heldBack;
     std::vector<DecisionAction> decisions;
+    /// Pools that do not check grants: what this daemon routes by, and its requests in flight by key sample.
+    Assignment routes;
+    std::optional<Instant> permitEnd;
+    std::map<std::size_t, std::string> running;
 };
 
 struct Cluster
@@ -84,7 +88,7 @@
     std::vector<Instant> servedAt = std::vector<Instant>(sampledKeys);
     Duration longestGap{};
 
-    Cluster(int daemonCount, int serverCount);
+    Cluster(int daemonCount, int serverCount, bool checksGrants = true);
     void startDaemon(const std::string &name);
     void startServer(const std::string &name);
     void sendLists();
@@ -102,6 +106,8 @@
 private:
     void at(Duration delay, std::function<void()> body);
     void judge();
+    void judgeRoutes();
+    std::string routeOf(const FakeDaemon &daemon, KeyHash hash) const;
     void read(const std::string &daemon, const ReadObjectAction &action);
     void write(const std::string &daemon, const WriteObjectAction &action);
     void call(const std::string &daemon, const CallServerAction &action);
