Add placement policies, their benchmark and the choice of the default

Cause: keys need owners that balance skewed load, while moves cost churn and unavailable time; each service weighs the three differently. Ruled out: splitting and moving a slice in one round, because all pieces would be revoked.

--- a/include/galenarock/placement.h
+++ b/include/galenarock/placement.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include <galenarock/assignment.h>
@@ -67,4 +69,28 @@
 /// no key. Deterministic: equal input gives equal output.
 using PlacementPolicy = std::function<std::vector<SliceTarget>(const PlacementInput &)>;
 
+/// Baseline: each server stands at fixed points of the hash space and owns the range up to the next point. Ignores
+/// load and the churn budget. Without a usable server the result of every policy is empty.
+std::vector<SliceTarget> consistentHashingPlacement(const PlacementInput &input);
+
+/// Slices of equal width; each keeps its owner until that owner exceeds its bound, and then goes to the next server of
+/// the slice's own order that has room.
+std::vector<SliceTarget> boundedLoadsPlacement(const PlacementInput &input);
+
+/// Slices that are split, merged and moved; hot keys become slices of their own. Moves for balance stay within the
+/// churn budget. The default; the figures are in docs/placement.md.
+std::vector<SliceTarget> weightedSlicesPlacement(const PlacementInput &input);
+
+/// weightedSlicesPlacement() without slices for hot keys; for comparison.
+std::vector<SliceTarget> weightedSlicesWithoutHotKeys(const PlacementInput &input);
+
+struct NamedPlacement
+{
+    std::string_view name;
+    PlacementPolicy policy;
+};
+
+/// All policies; the first is the default.
+const std::vector<NamedPlacement> &placementPolicies();
+
 }
