Count load by key range and feed it to placement

Cause: the placement policy had no loads, so nothing moved for balance and hot keys were never isolated. Change: workers count requests in 512 buckets of the hash space and keep a Misra-Gries summary of hot keys; each daemon reports to the shard's coordinator every 10 s (about 0.6 KB for each keyed service). Ruled out: counting by slice; such a report is useless after a split or merge.

--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <galenarock/error.h>
+#include <galenarock/loadreport.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
 #include <galenarock/requestkeeper.h>
@@ -66,6 +67,11 @@
     {
         return m_keeper;
     }
+    /// Load by key range of all workers.
+    LoadCollector &loads()
+    {
+        return m_loads;
+    }
     SharedSuspects &suspects()
     {
         return m_suspects;
@@ -81,6 +87,7 @@
     const PeerKey m_peerKey;
     RequestKeeper m_keeper;
     SharedSuspects m_suspects;
+    LoadCollector m_loads;
     std::atomic<std::uint32_t> m_liveDaemons{1};
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::atomic<bool> m_refusing{false};
--- a/include/galenarock/shardcontroller.h
+++ b/include/galenarock/shardcontroller.h
@@ -119,6 +119,9 @@
     /// A new version of the service's document is in effect.
     void setDocument(const ServiceDocument &document);
 
+    /// Load by slice of assignment() and the hottest keys, for the next placement round.
+    void setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys);
+
     ShardRole role() const;
     std::uint32_t epoch() const;
     /// The newest assignment known to this daemon; null while none is known.
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -15,6 +15,8 @@
 /// Servers of balanced services hold no grants; the poll shows their boot number and their own drain signal, which must
 /// stop new work within 2 s.
 constexpr Duration BalancedPollInterval = seconds(1);
+/// About 0.6 KB for each keyed service and interval.
+constexpr Duration LoadInterval = seconds(10);
 
 MembershipSettings membershipSettings(const ControlPlaneSettings &settings)
 {
@@ -111,6 +113,7 @@
     settings.failureDomain = m_settings.failureDomain;
     settings.shard = document.service;
     settings.document = document;
+    settings.policy = placementPolicies().front().policy;
     settings.seed = m_settings.seed ^ hashKey(document.service);
     if (!document.pool.checksGrants) {
         // A server that checks refuses every renewal whose nonce is not the newest, and the term is counted from the
@@ -140,12 +143,19 @@
     if (const auto *reply = std::get_if<GrantReplyEvent>(&event)) {
         observeReply(*reply);
     } else if (const auto *peer = std::get_if<PeerEvent>(&event)) {
-        if (peer->type >= PeerMessageRange::Requests) {
+        if (peer->type == LoadMessage::Report) {
+            if (auto report =
+                    tryOr([&]() -> Result<std::optional<LoadReport>> { return decodeLoadReport(peer->payload); },
+                          [](ErrorCode, const std::string &) { return std::optional<LoadReport>(); })) {
+                receiveLoad(now, peer->sender.name, std::move(*report));
+            }
+        } else if (peer->type >= PeerMessageRange::Requests) {
             m_hooks.requestMessage(*peer);
         }
     } else if (std::holds_alternative<TickEvent>(event)) {
         startLedger(now);
         pollBalanced(now);
+        spreadLoads(now);
     }
 }
 
@@ -202,6 +212,38 @@
     }
 }
 
+void ControlPlane::spreadLoads(Instant now)
+{
+    if (now < m_nextLoads) {
+        return;
+    }
+    m_nextLoads = now + LoadInterval;
+    for (auto &report : m_hooks.takeLoads()) {
+        const auto shard = m_shards.controllers().find(report.service);
+        const auto mandate = shard == m_shards.controllers().end() ? std::nullopt : shard->second->status(now).mandate;
+        if (!mandate) {
+            continue;
+        }
+        if (mandate->coordinator == m_settings.self) {
+            receiveLoad(now, m_settings.self.name, std::move(report));
+        } else {
+            m_hooks.sendPeer({mandate->coordinator.name, LoadMessage::Report, encode(report)});
+        }
+    }
+}
+
+void ControlPlane::receiveLoad(Instant now, const std::string &daemon, LoadReport report)
+{
+    const auto shard = m_shards.controllers().find(report.service);
+    const auto *assignment = shard == m_shards.controllers().end() ? nullptr : shard->second->assignment();
+    if (!assignment) {
+        return;
+    }
+    auto &book = m_loads[report.service];
+    book.add(now, daemon, std::move(report));
+    shard->second->setLoads(book.sliceLoads(now, *assignment), book.hotKeys(now));
+}
+
 void ControlPlane::step(Instant now, const ControlEvent &event)
 {
     carryOut(now, m_membership.step(now, event));
--- a/src/daemon/controlplane_p.h
+++ b/src/daemon/controlplane_p.h
@@ -8,6 +8,7 @@
 
 #include <galenarock/config.h>
 #include <galenarock/control.h>
+#include <galenarock/loadreport.h>
 #include <galenarock/membership.h>
 #include <galenarock/routing.h>
 
@@ -33,6 +34,8 @@
     std::function<void(const Assignment &, const VmList &)> ledgerChanged;
     /// Boot number that a backend server reported.
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
+    /// Load by key range that this daemon counted since the last call.
+    std::function<std::vector<LoadReport>()> takeLoads;
     /// A peer message of the request cores.
     std::function<void(const PeerEvent &)> requestMessage;
     /// Rings that carry commands out are empty (rule R9).
@@ -79,6 +82,8 @@
     void observeReply(const GrantReplyEvent &event);
     void startLedger(Instant now);
     void pollBalanced(Instant now);
+    void spreadLoads(Instant now);
+    void receiveLoad(Instant now, const std::string &daemon, LoadReport report);
     void adopt(Instant now, const StoredObject &object);
     void carryOut(Instant now, ControlActions actions);
     void publishAssignment(const Assignment &assignment);
@@ -106,6 +111,8 @@
     bool m_ledgerStarted = false;
     Instant m_nextStatus{};
     Instant m_nextPoll{};
+    Instant m_nextLoads{};
+    std::map<std::string, LoadBook> m_loads;
 };
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -124,6 +124,9 @@
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
         shared.suspects().bootSeen(MonotonicClock::now(), server, boot);
     };
+    hooks.takeLoads = [this] {
+        return shared.loads().takeAll();
+    };
     hooks.requestMessage = [this](const PeerEvent &it) {
         receiveRequestMessage(it);
     };
--- a/src/ownership/moves.cpp
+++ b/src/ownership/moves.cpp
@@ -91,6 +91,10 @@
     input.ownership = m_settings.document.ownership;
     input.weights = m_settings.document.weights;
     input.churnBudget = m_churnBudget;
+    if (m_loads.size() == m_live->slices.size()) {
+        input.loads = m_loads;
+        input.hotKeys = m_hotKeys;
+    }
     const auto add = [&](const Identity &identity) {
         PlacementServer server;
         server.identity = identity;
--- a/src/ownership/shard.cpp
+++ b/src/ownership/shard.cpp
@@ -42,6 +42,12 @@
     m_actions->push_back(std::move(action));
 }
 
+void Shard::setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys)
+{
+    m_loads = std::move(loads);
+    m_hotKeys = std::move(hotKeys);
+}
+
 void Shard::setDocument(const ServiceDocument &document)
 {
     m_settings.document = document;
@@ -193,6 +199,11 @@
     return m_shard->step(now, event);
 }
 
+void ShardController::setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys)
+{
+    m_shard->setLoads(std::move(loads), std::move(hotKeys));
+}
+
 void ShardController::setDocument(const ServiceDocument &document)
 {
     m_shard->setDocument(document);
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -92,6 +92,7 @@
 
     ControlActions step(Instant now, const ControlEvent &event);
     void setDocument(const ServiceDocument &document);
+    void setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys);
     ShardRole role() const;
     std::uint32_t epoch() const;
     const Assignment *assignment() const;
@@ -310,6 +311,8 @@
     std::vector<Identity> m_wantedUsable;
     Instant m_plannedAt;
     double m_churnBudget = 0;
+    std::vector<SliceLoad> m_loads;
+    std::vector<HotKey> m_hotKeys;
     std::optional<Instant> m_downSince;
     Instant m_nextWriteAt;
     Instant m_nextDigestAt;
--- a/src/proxy/classify.cpp
+++ b/src/proxy/classify.cpp
@@ -103,6 +103,7 @@
     }
     request.key = key;
     request.hash = hashKey(key);
+    request.traffic->load.count(request.hash);
     return {};
 }
 
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 constexpr Duration SweepInterval = milliseconds(20);
+constexpr Duration LoadInterval = seconds(2);
 
 bool hasHeader(const std::vector<std::string> &lines, std::string_view name)
 {
@@ -366,6 +367,22 @@
         it->refresh(now, m_shared.snapshot(), m_shared.liveDaemons());
         pump(*it);
     }
+    if (now >= m_nextLoad) {
+        m_nextLoad = now + LoadInterval;
+        reportLoad(now);
+    }
+}
+
+void RequestHandler::reportLoad(Instant now)
+{
+    for (const auto &[name, it] : m_traffic) {
+        if (it->route->document().distribution != Distribution::Keyed) {
+            continue;
+        }
+        auto report = it->load.take(now);
+        report.service = name;
+        m_shared.loads().add(report);
+    }
 }
 
 }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -81,6 +81,8 @@
     static void withRequest(const std::weak_ptr<PendingRequest> &weak,
                             const std::function<void(const Pending &)> &body);
 
+    void reportLoad(Instant now);
+
     ProxyShared &m_shared;
     UpstreamClient &m_upstream;
     std::unordered_map<std::string, std::unique_ptr<ServiceTraffic>> m_traffic;
@@ -93,6 +95,7 @@
     std::uint64_t m_nextTicket = 1;
     Instant m_now{};
     Instant m_nextSweep{};
+    Instant m_nextLoad{};
 };
 
 }
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <galenarock/admission.h>
+#include <galenarock/loadreport.h>
 #include <galenarock/metrics.h>
 #include <galenarock/retry.h>
 #include <galenarock/routing.h>
@@ -50,6 +51,7 @@
     ServerObservations observations;
     Admission admission;
     RetryBudget budget;
+    LoadCounter load;
     /// Requests in the admission queue by ticket.
     std::unordered_map<std::uint64_t, std::shared_ptr<PendingRequest>> queued;
 
