Do not take a different boot number for a later one

Change: an identity counts as replaced only when a call or a request that was sent after the identity was known is answered by another process of the VM; a VM counts as gone when it was listed before, or after 60 s without a listing. Ruled out: comparing boot numbers, because they are random. Conclusion: the test for a new identity needs a time order, not only a difference.

--- a/src/ownership/mandate.cpp
+++ b/src/ownership/mandate.cpp
@@ -21,6 +21,8 @@
 constexpr Duration refreshInterval = seconds(30);
 /// A coordinator waits this long for a first deputy, so that members that start together are all known.
 constexpr Duration deputyPatience = milliseconds(500);
+/// A VM that this daemon has never seen in the VM list may be too new for it; the list lags by less than this.
+constexpr Duration unseenWait = seconds(60);
 constexpr Duration contactInterval = seconds(5);
 constexpr Duration contactRetry = milliseconds(200);
 }
@@ -82,17 +84,12 @@
     return nullptr;
 }
 
-bool Shard::isGone(const Identity &daemon) const
+bool Shard::isUnlisted(const std::string &vm) const
 {
-    for (const auto &it : m_members) {
-        if (it.identity.name == daemon.name && it.identity.boot != daemon.boot) {
-            return true;
-        }
-    }
-    if (m_vms.vms.empty()) {
+    if (m_vms.revision == 0 || m_listedNow.count(vm) != 0) {
         return false;
     }
-    return std::none_of(m_vms.vms.begin(), m_vms.vms.end(), [&](const auto &it) { return it.name == daemon.name; });
+    return m_listedOnce.count(vm) != 0 || m_now > m_epochSince + unseenWait;
 }
 
 std::vector<const Member *> Shard::rankedMembers() const
--- a/src/ownership/permits.cpp
+++ b/src/ownership/permits.cpp
@@ -83,7 +83,7 @@
 
 void Shard::receive(const PeerEvent &event, const OwnershipMessages::PermitQuery &message)
 {
-    if (checksGrants() || !isIssuer() || isGone(event.sender)) {
+    if (checksGrants() || !isIssuer() || isUnlisted(event.sender.name)) {
         return;
     }
     m_permitHolders[event.sender] = m_now + lengthened(term());
@@ -235,6 +235,12 @@
             m_permitHolders.emplace(*holder, m_now);
         }
     }
+    for (const auto &it : daemonsToStop()) {
+        // The answer to this epoch comes from a later process of the VM, so the earlier one has ended.
+        if (it.name == event.sender.name && it != event.sender) {
+            m_replacedDaemons.insert(it);
+        }
+    }
     for (const auto sequence : message.sequences) {
         const auto it = m_sliceStops.find(sequence);
         if (it != m_sliceStops.end()) {
@@ -246,10 +252,10 @@
 void Shard::trackGoneDaemons()
 {
     for (const auto &it : daemonsToStop()) {
-        if (!isGone(it)) {
-            m_goneSince.erase(it);
-        } else {
+        if (isUnlisted(it.name) || m_replacedDaemons.count(it) != 0) {
             m_goneSince.emplace(it, m_now);
+        } else {
+            m_goneSince.erase(it);
         }
     }
     for (auto it = m_permitHolders.begin(); it != m_permitHolders.end();) {
--- a/src/ownership/servers.cpp
+++ b/src/ownership/servers.cpp
@@ -133,6 +133,7 @@
     server.held.clear();
     server.epoch = 0;
     server.lastReplyAt.reset();
+    server.repliedSentAt = event.sentAt;
 }
 
 void Shard::learnReply(ServerRecord &server, const GrantReplyEvent &event)
--- a/src/ownership/shard.cpp
+++ b/src/ownership/shard.cpp
@@ -68,6 +68,11 @@
         return;
     }
     m_vms = event.list;
+    m_listedNow.clear();
+    for (const auto &it : m_vms.vms) {
+        m_listedNow.insert(it.name);
+        m_listedOnce.insert(it.name);
+    }
     for (auto &[name, it] : m_servers) {
         it.listed = false;
     }
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -134,7 +134,8 @@
     std::optional<Identity> chooseDeputy(const Identity &coordinator) const;
     std::vector<const Member *> rankedMembers() const;
     const Member *aliveMember(const Identity &identity) const;
-    bool isGone(const Identity &daemon) const;
+    bool isUnlisted(const std::string &vm) const;
+    bool isReplaced(const Identity &server) const;
     bool isEntitled() const;
     Duration holdCap() const;
     Duration lengthened(Duration duration) const;
@@ -169,7 +170,7 @@
     void receive(const PeerEvent &event, const OwnershipMessages::StopRequest &message);
     void receive(const PeerEvent &event, const OwnershipMessages::StopAck &message);
     void stopAll(const PeerEvent &event, const OwnershipMessages::StopRequest &message);
-    void removeFormer(const Identity &member);
+    void removeFormer(const std::string &vm);
     bool isStopped(const Identity &server) const;
     bool hasPairStopped(const Identity &server) const;
     void learnReport(const OwnershipMessages::ServerReport &report);
@@ -250,6 +251,8 @@
 
     std::vector<Member> m_members;
     VmList m_vms;
+    std::set<std::string> m_listedNow;
+    std::set<std::string> m_listedOnce;
     std::map<std::string, ServerRecord> m_servers;
 
     ObjectWriter m_mandateWriter;
@@ -288,6 +291,7 @@
     Instant m_sliceStopsSentAt;
     std::map<Identity, Instant> m_permitHolders;
     std::map<Identity, Instant> m_goneSince;
+    std::set<Identity> m_replacedDaemons;
     /// This daemon's permit and the slices that it does not route.
     std::uint64_t m_permitNonce = 0;
     Instant m_permitAskedAt;
--- a/src/ownership/stops.cpp
+++ b/src/ownership/stops.cpp
@@ -132,23 +132,28 @@
     m_formerAskedAt = m_now;
     const auto former = m_former;
     for (const auto &it : former) {
-        if (isGone(it)) {
-            removeFormer(it);
+        if (isUnlisted(it.name)) {
+            removeFormer(it.name);
             continue;
         }
         act(toPeer(it.name, OwnershipMessages::StopRequest{m_settings.shard, epoch(), 0, {}}));
     }
 }
 
-void Shard::removeFormer(const Identity &member)
+void Shard::removeFormer(const std::string &vm)
 {
-    if (m_former.erase(member) == 0) {
-        return;
+    // An answer of another process of the VM to this epoch means that the earlier process has ended.
+    for (auto it = m_former.begin(); it != m_former.end();) {
+        if (it->name != vm) {
+            ++it;
+            continue;
+        }
+        // Its last renewal may have carried a nonce that it received just now.
+        m_formerBound = std::max(m_formerBound, m_now + lengthened(term()));
+        decide(OwnershipEvents::FormerMemberStopped, {}, "{} renews no server of shard {}", toString(*it),
+               m_settings.shard);
+        it = m_former.erase(it);
     }
-    // Its last renewal may have carried a nonce that it received just now.
-    m_formerBound = std::max(m_formerBound, m_now + lengthened(term()));
-    decide(OwnershipEvents::FormerMemberStopped, {}, "{} renews no server of shard {}", toString(member),
-           m_settings.shard);
 }
 
 void Shard::receive(const PeerEvent &event, const OwnershipMessages::StopRequest &message)
@@ -205,7 +210,7 @@
         return;
     }
     if (message.allStopped) {
-        return removeFormer(event.sender);
+        return removeFormer(event.sender.name);
     }
     if (m_mandate->deputy != event.sender || message.counter != m_stopCounter
         || message.nonceAgeMs.size() != message.servers.size()) {
@@ -243,6 +248,16 @@
     m_reported.insert(*server);
 }
 
+bool Shard::isReplaced(const Identity &server) const
+{
+    const auto it = m_servers.find(server.name);
+    if (it == m_servers.end() || it->second.boot == 0 || it->second.boot == server.boot) {
+        return false;
+    }
+    // The boot seen here may also be the older one; a reply to a call sent after the identity was known is not.
+    return it->second.repliedSentAt >= m_activeSince;
+}
+
 bool Shard::hasPairStopped(const Identity &server) const
 {
     const auto it = m_stops.find(server);
@@ -272,16 +287,8 @@
     if (m_reported.count(server) != 0 || (hasFormerStopped && hasPairStopped(server))) {
         return true;
     }
-    const auto it = m_servers.find(server.name);
-    if (it != m_servers.end()) {
-        const auto &record = it->second;
-        const bool isOther = record.boot != 0 && record.boot != server.boot;
-        if (isOther || !record.listed || (record.boot == server.boot && record.epoch >= epoch())) {
-            return true;
-        }
-        return false;
-    }
-    return m_vms.revision != 0;
+    const auto *const record = recordOf(server);
+    return (record && record->epoch >= epoch()) || isReplaced(server) || isUnlisted(server.name);
 }
 
 bool Shard::isClear(const SliceAssignment &slice) const
@@ -295,8 +302,7 @@
 
 bool Shard::hasLapsed(const Identity &server) const
 {
-    const auto record = m_servers.find(server.name);
-    if (record != m_servers.end() && record->second.boot != 0 && record->second.boot != server.boot) {
+    if (isReplaced(server)) {
         return true;
     }
     return hasPairStopped(server) && isCleared(server);
