--- a/src/standin/backendserver.cpp
+++ b/src/standin/backendserver.cpp
@@ -173,8 +173,16 @@
         refuse(job, reason);
         return;
     }
-    JournalEntry entry{job->requestId, job->key,       job->exchange->method(), job->exchange->target(),
-                       job->token,     m_options.name, m_holder->boot(),        now};
+    JournalEntry entry;
+    entry.requestId = job->requestId;
+    entry.key = job->key;
+    entry.method = job->exchange->method();
+    entry.target = job->exchange->target();
+    entry.token = job->token;
+    entry.service = m_options.service;
+    entry.server = m_options.name;
+    entry.boot = m_holder->boot();
+    entry.start = now;
     job->journalNumber = m_journal.add(std::move(entry));
     job->stage = Stage::Receiving;
     m_running.emplace(job.get(), job);
--- a/src/standin/eventloop.cpp
+++ b/src/standin/eventloop.cpp
@@ -48,15 +48,31 @@
     }
 }
 
-void EventLoop::stopOnSignals()
+void EventLoop::stopOnSignals(std::function<void()> onSignal)
 {
+    m_onSignal = std::move(onSignal);
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     m_signals = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-    watch(m_signals, [this] { m_stopped = true; });
+    watch(m_signals, [this] { readSignal(); });
+}
+
+void EventLoop::readSignal()
+{
+    signalfd_siginfo info{};
+    if (read(m_signals, &info, sizeof info) != sizeof info) {
+        return;
+    }
+    const auto onSignal = std::move(m_onSignal);
+    m_onSignal = nullptr;
+    if (!onSignal) {
+        m_stopped = true;
+        return;
+    }
+    onSignal();
 }
 
 void EventLoop::watch(int fd, std::function<void()> onReady, bool readable, bool writable)
--- a/src/standin/eventloop_p.h
+++ b/src/standin/eventloop_p.h
@@ -27,8 +27,9 @@
     void run();
     /// Ends run(); callable from any thread.
     void stop();
-    /// Ends run() when the process receives SIGTERM or SIGINT. Call before any other thread is started.
-    void stopOnSignals();
+    /// Ends run(), or calls `onSignal` instead, when the process receives SIGTERM or SIGINT; a second signal always
+    /// ends run(). Call before any other thread is started.
+    void stopOnSignals(std::function<void()> onSignal = {});
 
     /// Calls `onReady` whenever `fd` is readable or, with `writable`, can be written.
     void watch(int fd, std::function<void()> onReady, bool readable = true, bool writable = false);
@@ -42,12 +43,14 @@
 private:
     void armTimer();
     void readTimer();
+    void readSignal();
     void runTimers();
 
     int m_epoll = -1;
     int m_wake = -1;
     int m_timer = -1;
     int m_signals = -1;
+    std::function<void()> m_onSignal;
     /// Time for which m_timer is set.
     Instant m_armedFor;
     bool m_stopped = false;
--- a/src/standin/journal.cpp
+++ b/src/standin/journal.cpp
@@ -45,6 +45,7 @@
             {"method", entry.method},
             {"target", entry.target},
             {"token", entry.token},
+            {"service", entry.service},
             {"server", entry.server},
             {"boot", entry.boot},
             {"startUs", microseconds(entry.start)},
@@ -63,6 +64,7 @@
         entry.method = json.at("method").get<std::string>();
         entry.target = json.at("target").get<std::string>();
         entry.token = json.at("token").get<std::string>();
+        entry.service = json.at("service").get<std::string>();
         entry.server = json.at("server").get<std::string>();
         entry.boot = json.at("boot").get<std::uint64_t>();
         entry.start = instant(json.at("startUs").get<std::int64_t>());
--- a/src/standin/journal_p.h
+++ b/src/standin/journal_p.h
@@ -41,6 +41,7 @@
     std::string method;
     std::string target;
     std::string token;
+    std::string service;
     std::string server;
     std::uint64_t boot = 0;
     /// Monotonic clock of the machine, so entries of several processes can be compared.
--- a/src/standin/programoptions.cpp
+++ b/src/standin/programoptions.cpp
@@ -63,6 +63,18 @@
     return address.value_or(ListenAddress{});
 }
 
+std::vector<std::string> ProgramOptions::addresses(const char *name)
+{
+    const auto texts = get<std::vector<std::string>>(name);
+    for (const auto &it : texts) {
+        const auto address = parseAddress(it);
+        if (!address || address->port == 0) {
+            addFinding(name, "not an ip:port address: " + it);
+        }
+    }
+    return texts;
+}
+
 void ProgramOptions::addFinding(const std::string &flag, const std::string &message)
 {
     m_findings.push_back({ErrorCode::OutOfRange, "--" + flag, message});
--- a/src/standin/programoptions_p.h
+++ b/src/standin/programoptions_p.h
@@ -50,6 +50,12 @@
         return n;
     }
     ListenAddress address(const char *name);
+    /// Values of a repeated `ip:port` option.
+    std::vector<std::string> addresses(const char *name);
+    bool isDefaulted(const char *name) const
+    {
+        return m_values[name].defaulted();
+    }
     void addFinding(const std::string &flag, const std::string &message);
     /// Prints all findings to standard error; true when there are any.
     bool reportFindings() const;
