--- a/benchmark/serverchoice.cpp
+++ b/benchmark/serverchoice.cpp
@@ -1,6 +1,6 @@
 /// Tables for docs/requests.md: server choice policies, retry amplification in an outage, and the runaway-caller guard.
-/// Prints Markdown; the output depends only on the seed in simulation_p.h.
-#include <cstdio>
+/// Prints Markdown. Usage: serverchoice [SEED]; the output depends only on the seed, 1 by default.
+#include <cstdlib>
 #include <string>
 
 #include <fmt/format.h>
@@ -12,6 +12,15 @@
 
 namespace
 {
+std::uint64_t seed = 1;
+
+Settings seededSettings()
+{
+    Settings settings;
+    settings.seed = seed;
+    return settings;
+}
+
 struct NamedPolicy
 {
     const char *name;
@@ -62,7 +71,7 @@
     fmt::print("| pool | faulty server | load | policy | p50 ms | p99 ms | p99.9 ms | goodput | not-run | unknown | "
                "wasted | sent to liar |\n");
     fmt::print("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
-    Settings eight;
+    auto eight = seededSettings();
     eight.limitsBySlots = limitsBySlots;
     auto ten = eight;
     ten.servers = 10;
@@ -88,7 +97,7 @@
     fmt::print("\n| outage | retries | fresh | attempts | attempts per fresh request |\n|---|---|---|---|---|\n");
     for (const auto outage : {Outage::Refusing, Outage::Frozen}) {
         for (const double budget : {1'000.0, 10.0}) {
-            Settings settings;
+            auto settings = seededSettings();
             settings.outage = outage;
             settings.outageFrom = 10;
             settings.retry.budgetPercent = budget;
@@ -142,7 +151,7 @@
     fmt::print(
         "\n| limits | ordinary callers answered | their p99 ms | runaway answered, of capacity | runaway not-run |\n"
         "|---|---|---|---|---|\n");
-    Settings settings;
+    auto settings = seededSettings();
     settings.measureFrom = 150;
     settings.endSeconds = 270;
     const double capacity = settings.capacity();
@@ -162,8 +171,11 @@
 }
 }
 
-int main()
+int main(int argc, char **argv)
 {
+    if (argc > 1) {
+        seed = std::strtoull(argv[1], nullptr, 10);
+    }
     printChoiceTable(true, {0.5, 0.8, 0.95, 1.2});
     printChoiceTable(false, {0.8, 1.2});
     printOutageTable();
