--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -148,8 +148,9 @@
 {
     auto &traffic = *request->traffic;
     const auto &document = traffic.route->document();
-    AdmissionRequest entry{request->ticket, document.requests.trafficClass, document.requests.priority,
-                           request->deadline, noServer, request->caller};
+    AdmissionRequest entry{
+        request->ticket, document.requests.trafficClass, document.requests.priority, request->deadline, noServer,
+        request->caller};
     if (document.distribution == Distribution::Keyed) {
         entry.server = traffic.route->owner(request->hash, m_now).server;
     }
