--- a/src/ownership/shard.cpp
+++ b/src/ownership/shard.cpp
@@ -42,6 +42,12 @@
     m_actions->push_back(std::move(action));
 }
 
+void Shard::setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys)
+{
+    m_loads = std::move(loads);
+    m_hotKeys = std::move(hotKeys);
+}
+
 void Shard::setDocument(const ServiceDocument &document)
 {
     m_settings.document = document;
@@ -68,6 +74,11 @@
         return;
     }
     m_vms = event.list;
+    m_listedNow.clear();
+    for (const auto &it : m_vms.vms) {
+        m_listedNow.insert(it.name);
+        m_listedOnce.insert(it.name);
+    }
     for (auto &[name, it] : m_servers) {
         it.listed = false;
     }
@@ -193,6 +204,11 @@
     return m_shard->step(now, event);
 }
 
+void ShardController::setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys)
+{
+    m_shard->setLoads(std::move(loads), std::move(hotKeys));
+}
+
 void ShardController::setDocument(const ServiceDocument &document)
 {
     m_shard->setDocument(document);
