Reduce the connection memory of the caller side to 8 KiB

Cause: callgrind on benchmark/proxyoverhead shows 27% of all instructions in memset: libmicrohttpd clears the whole connection memory after each request on a kept connection. Change: 8 KiB instead of 32 KiB; request heads above that get 431. Ruled out: locks (none on this path) and the decision cores (8% together).

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -17,7 +17,9 @@
 
 namespace
 {
-constexpr std::size_t HeaderMemoryBytes = 32 * 1024; // larger request heads are refused by libmicrohttpd with 431
+/// Larger request heads are refused by libmicrohttpd with 431. It clears this memory after each request, which at 32
+/// KiB took a quarter of all instructions of a forwarded request.
+constexpr std::size_t HeaderMemoryBytes = 8 * 1024;
 constexpr unsigned IdleTimeoutSeconds = 120; // closes kept connections without traffic; suspended ones stay
 constexpr std::size_t ReaderBlockBytes = 32 * 1024;
 
