--- a/src/standin/audit_p.h
+++ b/src/standin/audit_p.h
@@ -31,10 +31,13 @@
     std::uint64_t keysServed = 0;
     /// Changes of a key's server from one run to the next.
     std::uint64_t keyMoves = 0;
-    /// Keyed: longest time between a key's first failed request and its next answered one, by intended start.
-    /// Others: the same for the service as a whole.
+    /// Spans in which requests of the service failed, by intended start. Failures at most 1 s apart are one span, since
+    /// the requests in between may be for other keys.
     double longestUnavailableSeconds = 0;
     double totalUnavailableSeconds = 0;
+    /// Upper bound for a single key (keyed services): longest time from its first failed request to its next answered
+    /// one, which for a rarely requested key comes late.
+    double keyUnavailableAtMostSeconds = 0;
 };
 
 struct ServiceCounts
