--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -92,6 +92,7 @@
 
     ControlActions step(Instant now, const ControlEvent &event);
     void setDocument(const ServiceDocument &document);
+    void setLoads(std::vector<SliceLoad> loads, std::vector<HotKey> hotKeys);
     ShardRole role() const;
     std::uint32_t epoch() const;
     const Assignment *assignment() const;
@@ -134,7 +135,8 @@
     std::optional<Identity> chooseDeputy(const Identity &coordinator) const;
     std::vector<const Member *> rankedMembers() const;
     const Member *aliveMember(const Identity &identity) const;
-    bool isGone(const Identity &daemon) const;
+    bool isUnlisted(const std::string &vm) const;
+    bool isReplaced(const Identity &server) const;
     bool isEntitled() const;
     Duration holdCap() const;
     Duration lengthened(Duration duration) const;
@@ -169,7 +171,7 @@
     void receive(const PeerEvent &event, const OwnershipMessages::StopRequest &message);
     void receive(const PeerEvent &event, const OwnershipMessages::StopAck &message);
     void stopAll(const PeerEvent &event, const OwnershipMessages::StopRequest &message);
-    void removeFormer(const Identity &member);
+    void removeFormer(const std::string &vm);
     bool isStopped(const Identity &server) const;
     bool hasPairStopped(const Identity &server) const;
     void learnReport(const OwnershipMessages::ServerReport &report);
@@ -250,6 +252,8 @@
 
     std::vector<Member> m_members;
     VmList m_vms;
+    std::set<std::string> m_listedNow;
+    std::set<std::string> m_listedOnce;
     std::map<std::string, ServerRecord> m_servers;
 
     ObjectWriter m_mandateWriter;
@@ -288,6 +292,7 @@
     Instant m_sliceStopsSentAt;
     std::map<Identity, Instant> m_permitHolders;
     std::map<Identity, Instant> m_goneSince;
+    std::set<Identity> m_replacedDaemons;
     /// This daemon's permit and the slices that it does not route.
     std::uint64_t m_permitNonce = 0;
     Instant m_permitAskedAt;
@@ -310,6 +315,8 @@
     std::vector<Identity> m_wantedUsable;
     Instant m_plannedAt;
     double m_churnBudget = 0;
+    std::vector<SliceLoad> m_loads;
+    std::vector<HotKey> m_hotKeys;
     std::optional<Instant> m_downSince;
     Instant m_nextWriteAt;
     Instant m_nextDigestAt;
