Add event traces, the outcome checker and galenarock-replay

Cause: the guarantees have to be checked on what daemons and servers did, after trials with faults, and the cores' decisions have to be repeatable. Ruled out: separate checksums per record, which would miss removed and exchanged records; comparing run intervals by server time alone, because a run may outlast its term; starts are compared by token instead. Conclusion: the daemon still has to write the records (--trace).

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -19,6 +19,7 @@
 #include <galenarock/platform.h>
 #include <galenarock/proxy.h>
 #include <galenarock/platformclient.h>
+#include <galenarock/replay.h>
 #include <galenarock/requests.h>
 #include <galenarock/retry.h>
 #include <galenarock/ring.h>
