--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -17,8 +17,8 @@
 #include <galenarock/peer.h>
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
-#include <galenarock/proxy.h>
 #include <galenarock/platformclient.h>
+#include <galenarock/proxy.h>
 #include <galenarock/replay.h>
 #include <galenarock/requests.h>
 #include <galenarock/retry.h>
