--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -19,9 +19,9 @@
 {
 /// Larger request heads are refused by libmicrohttpd with 431. It clears this memory after each request, which at 32
 /// KiB took a quarter of all instructions of a forwarded request.
-constexpr std::size_t HeaderMemoryBytes = 8 * 1024;
+constexpr std::size_t HeaderMemoryBytes = 8'192;
 constexpr unsigned IdleTimeoutSeconds = 120; // closes kept connections without traffic; suspended ones stay
-constexpr std::size_t ReaderBlockBytes = 32 * 1024;
+constexpr std::size_t ReaderBlockBytes = 32'768;
 
 /// Keeps the caller's percent-encoding, since the target is forwarded as it came.
 std::size_t keepEscapes(void *, MHD_Connection *, char *text)
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -230,9 +230,8 @@
 
 void RequestHandler::handleGone(const Pending &request, bool)
 {
-    const auto keepAlive = request;
     if (request->finished) {
-        m_active.erase(keepAlive);
+        m_active.erase(request);
         return;
     }
     if (request->isQueued) {
@@ -252,7 +251,7 @@
     }
     if (!request->attempt) {
         recordOutcome(*request, {Reason::ConnectionLost, wasSent ? Outcome::Unknown : Outcome::NotRun, {}, 0});
-        finish(keepAlive);
+        finish(request);
     }
 }
 
