--- a/src/ownership/servers.cpp
+++ b/src/ownership/servers.cpp
@@ -116,6 +116,9 @@
     if (event.request.action == GrantAction::Revoke) {
         return onRevokeReply(event);
     }
+    if (event.request.action == GrantAction::Grant && event.reply->reason == "old-sequence") {
+        renewSequences(server, event);
+    }
     const bool isRefusedNonce = event.reply->reason == "old-nonce";
     const bool isIdle = event.request.action == GrantAction::Poll || event.request.action == GrantAction::Fence;
     server.needsCall = checksGrants() && !isLate && (isIdle || isRefusedNonce);
@@ -164,6 +167,23 @@
     }
 }
 
+void Shard::renewSequences(const ServerRecord &server, const GrantReplyEvent &event)
+{
+    if (!isActive() || event.request.epoch != epoch()) {
+        return;
+    }
+    // A revoke of an earlier coordinator, or one whose move was given up, released these sequences for good. Revoked
+    // once more, the slices count as released here, and get a fresh sequence.
+    for (const auto &slice : event.request.slices) {
+        const auto *const live = m_live->find(slice.range.first);
+        const auto &held = event.reply->held;
+        if (live && live->sequence == slice.sequence && ownerOf(*live) == server.identity()
+            && std::find(held.begin(), held.end(), slice) == held.end()) {
+            m_revoking[slice.sequence] = {server.identity(), slice.range, m_now - revokeResendInterval};
+        }
+    }
+}
+
 std::vector<GrantedSlice> Shard::missingGrants(const ServerRecord &server) const
 {
     std::vector<GrantedSlice> missing;
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -158,6 +158,7 @@
     void onRevokeReply(const GrantReplyEvent &event);
     void sendGrants();
     void sendFollowUps();
+    void renewSequences(const ServerRecord &server, const GrantReplyEvent &event);
     std::vector<GrantedSlice> missingGrants(const ServerRecord &server) const;
 
     // stops.cpp: R4, R5, R9
--- a/src/ownership/tests/shardtest.cpp
+++ b/src/ownership/tests/shardtest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "ownership/tests/shardfakes_p.h"
@@ -236,6 +238,28 @@
     expectStoredMatchesHeld();
 }
 
+// Guards against a slice that its owner refuses for ever, because the move that began with a revoke was given up.
+TEST_F(ShardTest, coordinatorLostAfterRevoke)
+{
+    auto &joined = cluster.servers["vitrina-9"];
+    cluster.startServer("vitrina-9");
+    cluster.sendLists();
+    const auto isRevoking = [](const auto &it) {
+        return it.event.name == "slice-revoking";
+    };
+    auto &old = *cluster.coordinator();
+    for (int n = 0; n < 90'000 && std::none_of(old.decisions.begin(), old.decisions.end(), isRevoking); ++n) {
+        cluster.run(milliseconds(1));
+    }
+    cluster.run(milliseconds(3));
+    old.dead = true;
+    joined.listed = false;
+    joined.dead = true;
+    cluster.sendLists();
+    cluster.run(seconds(6));
+    EXPECT_EQ(cluster.servedCount(), sampledKeys);
+}
+
 // Guards against decisions on stale reads.
 TEST_F(ShardTest, staleReads)
 {
