Look for room at a keyed owner without building all views

Cause: with a full queue of keyed requests whose owners are busy, each dispatch built the views of all servers once per queued request. Change: ServerObservations::inFlight and share(); ServiceTraffic::hasRoom and concurrency use them. Ruled out: caching the views between calls; they depend on the time and on each started or finished attempt.

--- a/benchmark/requestcores.cpp
+++ b/benchmark/requestcores.cpp
@@ -42,6 +42,28 @@
 }
 BENCHMARK(serverChoice)->Arg(8)->Arg(35);
 
+/// Look for room at the owners of 255 queued keyed requests, all busy, at 17 servers: by all views (0) or by one
+/// server's count (1).
+void keyedRoom(benchmark::State &state)
+{
+    std::vector<RoutedServer> servers;
+    for (int n = 0; n < 17; ++n) {
+        servers.push_back({{fmt::format("s{}", n), 0}, "127.0.0.1:80", "", false, {}});
+    }
+    ServerObservations observations;
+    observations.setServers(startTime(), servers, {1, 11});
+    for (auto _ : state) {
+        std::uint32_t busy = 0;
+        for (ServerIndex n = 0; n < 255; ++n) {
+            const auto server = static_cast<ServerIndex>(n % 17);
+            busy +=
+                state.range(0) == 0 ? observations.views(startTime())[server].inFlight : observations.inFlight(server);
+        }
+        benchmark::DoNotOptimize(busy);
+    }
+}
+BENCHMARK(keyedRoom)->Arg(0)->Arg(1);
+
 /// One request through a queue that already holds `state.range(0)` less urgent ones.
 void admissionQueue(benchmark::State &state)
 {
--- a/include/galenarock/serverchoice.h
+++ b/include/galenarock/serverchoice.h
@@ -129,6 +129,12 @@
     const std::vector<ServerView> &views(Instant now);
     ServerHandle started(Instant now, ServerIndex server);
     void finished(Instant now, ServerHandle handle, const AttemptObservation &observation);
+    /// Requests of this daemon at one server, without the cost of all views; 0 for an unknown index.
+    std::uint32_t inFlight(ServerIndex server) const;
+    DaemonShare share() const
+    {
+        return m_share;
+    }
     /// Whether holds are being ignored (as of the last views()).
     bool isPanicking() const
     {
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -179,7 +179,7 @@
     const auto owner = traffic.choose(m_now, *found->second);
     if (traffic.route->document().distribution == Distribution::Keyed) {
         // Without an owner the request is taken out and refused or delayed by its attempt plan.
-        return owner.reason != Reason::None || traffic.hasRoom(m_now, owner.server);
+        return owner.reason != Reason::None || traffic.hasRoom(owner.server);
     }
     return owner.reason == Reason::None;
 }
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -64,19 +64,19 @@
     return {server, Token{}, server == noServer ? Reason::NoServer : Reason::None};
 }
 
-bool ServiceTraffic::hasRoom(Instant now, ServerIndex server)
+bool ServiceTraffic::hasRoom(ServerIndex server) const
 {
-    const auto &views = observations.views(now);
-    return server < views.size() && views[server].inFlight < views[server].limit * KeyedShareFactor;
+    return server < route->servers().size()
+        && observations.inFlight(server) < observations.share().slots * KeyedShareFactor;
 }
 
 std::uint32_t ServiceTraffic::concurrency(Instant now, ServerIndex owner)
 {
-    const auto &views = observations.views(now);
     if (owner == noServer) {
+        observations.views(now);
         return observations.concurrency();
     }
-    return owner < views.size() ? views[owner].limit * KeyedShareFactor : 0;
+    return owner < route->servers().size() ? observations.share().slots * KeyedShareFactor : 0;
 }
 
 }
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -32,7 +32,7 @@
     /// Requests that may run at once on the servers that can take this one.
     std::uint32_t concurrency(Instant now, ServerIndex owner);
     /// Whether this daemon may start one more attempt at `server`.
-    bool hasRoom(Instant now, ServerIndex server);
+    bool hasRoom(ServerIndex server) const;
 
     Counter &refusals(Reason reason)
     {
--- a/src/routing/observations.cpp
+++ b/src/routing/observations.cpp
@@ -169,6 +169,11 @@
     return m_views;
 }
 
+std::uint32_t ServerObservations::inFlight(ServerIndex server) const
+{
+    return server < m_order.size() ? m_entries[m_order[server]].inFlight : 0;
+}
+
 ServerHandle ServerObservations::started(Instant /*now*/, ServerIndex server)
 {
     const auto handle = m_order.at(server);
--- a/src/routing/tests/serverchoicetest.cpp
+++ b/src/routing/tests/serverchoicetest.cpp
@@ -107,6 +107,8 @@
     observations.finished(at(2), handle, {AttemptEnd::Failed, milliseconds(1), {}});
     const auto &views = observations.views(at(2));
     EXPECT_EQ(views[1].inFlight, 1u);
+    EXPECT_EQ(observations.inFlight(1), 1u);
+    EXPECT_EQ(observations.inFlight(2), 0u) << "no such server any more";
     EXPECT_EQ(views[0].penalty, 0);
     EXPECT_FALSE(views[0].eligible);
     observations.finished(at(3), other, {AttemptEnd::Answered, milliseconds(1), {}});
