Widen byte constants of the proxy before multiplying

Change: std::size_t(256) * 1024 and the like; values are the same. Conclusion: no change in behaviour.

--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -20,7 +20,7 @@
 {
 
 /// Bytes of one request body and of one response body that a daemon buffers at most.
-inline constexpr std::size_t StreamBufferBytes = 256 * 1024;
+inline constexpr std::size_t StreamBufferBytes = std::size_t(256) * 1024;
 
 /// A caller's request and the response to it. All methods and hooks run on the worker's thread.
 class Exchange
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -18,11 +18,11 @@
 class ServiceTraffic;
 
 /// Bodies up to this size are kept until the request ends, so that a second attempt can send them again.
-inline constexpr std::size_t ReplayableBodyBytes = 64 * 1024;
+inline constexpr std::size_t ReplayableBodyBytes = std::size_t(64) * 1024;
 
 /// Responses up to this size are collected before the first byte goes to the caller, so that a cut response can still
 /// become a second attempt or a clear refusal.
-inline constexpr std::uint64_t CollectedResponseBytes = 64 * 1024;
+inline constexpr std::uint64_t CollectedResponseBytes = std::uint64_t(64) * 1024;
 
 /// A request between its arrival and its one outcome.
 struct PendingRequest
