Show nested status values, and check requests without an id correctly

Cause: a trial with two daemons, four stand-in servers and the platform stand-in showed nested status values on one line, and journals in which repeatable requests carry no id; the checker took all of them for one. Change: status and explain indent nested objects and list elements line by line; runs without an id are left out of the checks by id. Ruled out: attributing such runs by key and time, which cannot tell a retry from another caller's request.

Conclusion: not-run and at-most-once are checked only for requests with ids.

--- a/src/ctl/clustercommands.cpp
+++ b/src/ctl/clustercommands.cpp
@@ -41,16 +41,34 @@
     return context.http(request);
 }
 
-/// `name: value` lines for an object; nested values as compact JSON.
-std::string propertyLines(const json &object)
+std::string shownValue(const json &value)
 {
-    std::string text;
+    return value.is_string() ? value.get<std::string>() : value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool isNested(const json &value)
+{
+    return (value.is_object() || (value.is_array() && !value.empty() && value.front().is_structured()));
+}
+
+/// `name: value` lines for an object, nested objects indented; the elements of a list take a line each.
+std::string propertyLines(const json &object, std::size_t depth = 1)
+{
+    const std::string indent(2 * depth, ' ');
     if (!object.is_object()) {
-        return "  " + object.dump() + "\n";
+        return indent + shownValue(object) + "\n";
     }
+    std::string text;
     for (const auto &it : object.items()) {
-        const auto value = it.value().is_string() ? it.value().get<std::string>() : it.value().dump();
-        text += fmt::format("  {}: {}\n", it.key(), value);
+        const auto &value = it.value();
+        text += fmt::format("{}{}:{}\n", indent, it.key(), isNested(value) ? "" : " " + shownValue(value));
+        if (value.is_object()) {
+            text += propertyLines(value, depth + 1);
+            continue;
+        }
+        for (std::size_t n = 0; isNested(value) && n < value.size(); ++n) {
+            text += fmt::format("{}  {}\n", indent, shownValue(value[n]));
+        }
     }
     return text;
 }
--- a/src/replay/checker.cpp
+++ b/src/replay/checker.cpp
@@ -151,7 +151,10 @@
         auto shifted = record;
         shifted.startedAt += m_shift;
         shifted.endedAt += m_shift;
-        m_runsById[record.requestId].push_back(shifted);
+        // Repeatable requests may carry no id; their runs cannot be attributed to one caller's request.
+        if (!record.requestId.empty()) {
+            m_runsById[record.requestId].push_back(shifted);
+        }
         if (record.token != Token()) {
             m_runsByKey[record.service + "/" + record.key].push_back(shifted);
         }
--- a/src/replay/tests/replaytest.cpp
+++ b/src/replay/tests/replaytest.cpp
@@ -137,6 +137,15 @@
     EXPECT_TRUE(checkTraces({trace}, options).violations.empty());
 }
 
+// Guards against runs without an id being attributed to a refused request that has no id either.
+TEST(Replay, requestsWithoutIdAreNotConfused)
+{
+    using namespace ExampleTraces;
+    const AcceptedRecord accepted{at(1), 1, "", "vitrina", "sku-1", true};
+    const OutcomeRecord refused{at(2), 1, {}, "", Outcome::NotRun, Reason::QueueFull};
+    EXPECT_EQ(rulesOf({accepted, refused, run(serverA, "", 1, 10), run(serverA, "", 1, 11)}), Rules());
+}
+
 // Guards against journals whose cut or dropped entries go unnoticed, and against runs without work being counted.
 TEST(Replay, journals)
 {
