--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -59,6 +59,16 @@
     {
         m_liveDaemons.store(n == 0 ? 1 : n, std::memory_order_relaxed);
     }
+    /// Worker threads of all live daemons; each worker gets an equal share of slots, connections and rates.
+    std::uint32_t liveWorkers() const
+    {
+        return liveDaemons() * m_workers;
+    }
+    /// Set before the workers start; all daemons of a deployment run equally many.
+    void setWorkers(std::uint32_t n)
+    {
+        m_workers = n;
+    }
     const PeerKey &peerKey() const
     {
         return m_peerKey;
@@ -89,6 +99,7 @@
     SharedSuspects m_suspects;
     LoadCollector m_loads;
     std::atomic<std::uint32_t> m_liveDaemons{1};
+    std::uint32_t m_workers = 1;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::atomic<bool> m_refusing{false};
     std::atomic<std::int64_t> m_inFlight{0};
--- a/src/proxy/classify.cpp
+++ b/src/proxy/classify.cpp
@@ -45,7 +45,7 @@
         slot = std::make_unique<ServiceTraffic>(m_shared.metrics(), route->document());
         slot->route = route;
     }
-    slot->refresh(m_now, snapshot, m_shared.liveDaemons());
+    slot->refresh(m_now, snapshot, m_shared.liveWorkers());
     return slot.get();
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -183,6 +183,7 @@
 
 Result<void> Proxy::start(const ProxySettings &settings)
 {
+    m_impl->shared.setWorkers(settings.workers);
     ListenerSettings listener{settings.listenAddress, settings.workers > 1};
     for (unsigned n = 0; n < settings.workers; ++n) {
         auto worker = std::make_unique<Worker>(m_impl->shared);
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -227,7 +227,7 @@
         startAttempt(request, "http://" + request->keeperAddress + request->exchange->target());
         return;
     }
-    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveDaemons());
+    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
     const auto owner = traffic.choose(m_now, *request);
     if (owner.reason != Reason::None) {
         request->server = noServer;
@@ -365,7 +365,7 @@
     }
     m_nextSweep = now + SweepInterval;
     for (const auto &[name, it] : m_traffic) {
-        it->refresh(now, m_shared.snapshot(), m_shared.liveDaemons());
+        it->refresh(now, m_shared.snapshot(), m_shared.liveWorkers());
         pump(*it);
     }
     if (now >= m_nextLoad) {
