--- a/src/ownership/mandate.cpp
+++ b/src/ownership/mandate.cpp
@@ -126,6 +126,10 @@
 
 void Shard::tickMandate()
 {
+    if (role() != ShardRole::None && m_contactAt && !isEntitled() && !m_capLogged) {
+        m_capLogged = true;
+        decide(OwnershipEvents::HoldCapReached, {}, "shard {} epoch {}: renewals end", m_settings.shard, epoch());
+    }
     if (m_now - m_lastTakeoverAt > quietPeriod) {
         m_recentTakeovers = 0;
     }
@@ -375,6 +379,7 @@
     // The age was measured after the query was sent, so the contact is at least this recent.
     const Instant contact = m_contactAskedAt - milliseconds(message.ageMs);
     m_contactAt = m_contactAt ? std::max(*m_contactAt, contact) : contact;
+    m_capLogged = m_capLogged && !isEntitled();
     m_contactNonce = 0;
 }
 
--- a/src/ownership/moves.cpp
+++ b/src/ownership/moves.cpp
@@ -236,13 +236,13 @@
 
 void Shard::revoke(const SliceAssignment &slice)
 {
+    const double share = static_cast<double>(slice.range.last - slice.range.first) / static_cast<double>(~KeyHash(0));
+    m_churnBudget = std::max(0.0, m_churnBudget - share);
     decide(OwnershipEvents::SliceRevoking, slice.range, "owner {}", toString(ownerOf(slice)));
     if (!checksGrants()) {
         return startSliceStop(slice);
     }
     m_revoking[slice.sequence] = {ownerOf(slice), slice.range, m_now - revokeResendInterval};
-    const double share = static_cast<double>(slice.range.last - slice.range.first) / static_cast<double>(~KeyHash(0));
-    m_churnBudget = std::max(0.0, m_churnBudget - share);
 }
 
 void Shard::resendRevokes()
--- a/src/ownership/tests/shardchaostest.cpp
+++ b/src/ownership/tests/shardchaostest.cpp
@@ -104,18 +104,24 @@
 };
 }
 
+class ShardChaos : public testing::TestWithParam<unsigned>
+{
+};
+
 // Guards against combinations of faults that lead to two owners, or to a shard that does not recover.
-TEST(ShardChaos, randomFaults)
+TEST_P(ShardChaos, randomFaults)
 {
-    for (unsigned seed = 1; seed <= 12; ++seed) {
-        Chaos chaos(seed);
-        for (int n = 0; n < 30; ++n) {
-            chaos.act();
-            chaos.cluster.run(milliseconds(200 + chaos.pick(1'500)));
-        }
-        chaos.repair();
-        chaos.cluster.run(seconds(25));
-        EXPECT_EQ(chaos.cluster.violations.size(), 0u) << "seed " << seed << ": " << chaos.cluster.violations.front();
-        EXPECT_EQ(chaos.cluster.servedCount(), sampledKeys) << "seed " << seed;
+    Chaos chaos(GetParam());
+    for (int n = 0; n < 30; ++n) {
+        chaos.act();
+        chaos.cluster.run(milliseconds(200 + chaos.pick(1'500)));
     }
+    chaos.repair();
+    chaos.cluster.run(seconds(25));
+    EXPECT_EQ(chaos.cluster.violations, std::vector<std::string>());
+    EXPECT_EQ(chaos.cluster.servedCount(), sampledKeys);
 }
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ShardChaos, testing::Range(1u, 13u));
+// Seeds that showed two owners (1088, 2008) or slices without an owner (the others) in earlier versions.
+INSTANTIATE_TEST_SUITE_P(Regressions, ShardChaos, testing::Values(1088u, 2008u, 4066u, 4097u, 5060u));
