--- /dev/null
+++ b/src/proxy/requesthandler.cpp
@@ -0,0 +1,389 @@
+#include "requesthandler_p.h"
+
+#include <algorithm>
+
+#include <strings.h>
+
+#include <fmt/format.h>
+
+#include "peerauth_p.h"
+
+namespace Galenarock
+{
+
+namespace
+{
+constexpr Duration SweepInterval = milliseconds(20);
+constexpr Duration LoadInterval = seconds(2);
+
+bool hasHeader(const std::vector<std::string> &lines, std::string_view name)
+{
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string &it) {
+        return it.size() > name.size() && strncasecmp(it.data(), name.data(), name.size()) == 0
+            && (it[name.size()] == ':' || it[name.size()] == ';');
+    });
+}
+}
+
+RequestHandler::RequestHandler(ProxyShared &shared, UpstreamClient &upstream)
+    : m_shared(shared)
+    , m_upstream(upstream)
+{
+    for (std::size_t n = 0; n < reasonCount(); ++n) {
+        const auto labels = fmt::format("service=\"\",reason=\"{}\"", reasonAt(n).code);
+        m_unroutedRefusals.push_back(&shared.metrics().counter("galenarock_refusals_total", labels));
+    }
+}
+
+void RequestHandler::withRequest(const std::weak_ptr<PendingRequest> &weak,
+                                 const std::function<void(const Pending &)> &body)
+{
+    if (const auto request = weak.lock()) {
+        body(request);
+    }
+}
+
+void RequestHandler::handleRequest(const std::shared_ptr<Exchange> &exchange)
+{
+    auto request = std::make_shared<PendingRequest>();
+    m_now = MonotonicClock::now();
+    m_shared.inFlight().fetch_add(1, std::memory_order_relaxed);
+    m_active.insert(request);
+    request->exchange = exchange;
+    request->ticket = m_nextTicket++;
+    request->arrivedAt = m_now;
+    request->method = exchange->method();
+    request->caller = hashKey(exchange->callerAddress());
+    const std::weak_ptr<PendingRequest> weak = request; // the exchange must not own the request that owns it
+    exchange->onGone = [this, weak](bool complete) {
+        withRequest(weak, [&](const Pending &it) { handleGone(it, complete); });
+    };
+    if (exchange->target() == PeerGrantsPath && !exchange->header(PeerAuthHeader).empty()) {
+        exchange->onBody = [this, weak] {
+            withRequest(weak, [&](const Pending &it) { receiveGrant(it); });
+        };
+        return;
+    }
+    const auto refusal = classify(*request, *exchange);
+    if (refusal.reason != Reason::None) {
+        refuse(request, refusal);
+        return;
+    }
+    exchange->onBody = [this, weak] {
+        withRequest(weak, [&](const Pending &it) { receiveBody(it); });
+    };
+}
+
+void RequestHandler::receiveGrant(const Pending &request)
+{
+    auto &exchange = *request->exchange;
+    request->body.append(exchange.requestBody().data(), exchange.requestBody().size());
+    exchange.requestBody().clear();
+    if (!exchange.isRequestComplete()) {
+        return;
+    }
+    if (!isPeerAuth(m_shared.peerKey(), request->body, exchange.header(PeerAuthHeader))) {
+        refuse(request, {Reason::MalformedRequest, Outcome::NotRun, "message authentication failed", 0});
+        return;
+    }
+    const auto json = nlohmann::json::parse(request->body, nullptr, false);
+    const auto reply = tryOr(
+        [&]() -> Result<nlohmann::json> {
+            BOOST_LEAF_AUTO(grant, grantRequestFromJson(json));
+            return toJson(m_shared.keeper().handleGrant(MonotonicClock::now(), wallClockNow(), grant));
+        },
+        [](ErrorCode, const std::string &) { return nlohmann::json(); });
+    if (reply.is_null()) {
+        refuse(request, {Reason::MalformedRequest, Outcome::NotRun, "malformed grant request", 0});
+        return;
+    }
+    exchange.respond(200, {{"Content-Type", "application/json"}}, reply.dump());
+    finish(request);
+}
+
+void RequestHandler::receiveBody(const Pending &request)
+{
+    auto &exchange = *request->exchange;
+    if (request->finished) {
+        exchange.requestBody().clear();
+        return;
+    }
+    if (request->streamsBody) {
+        if (request->plan->attempts() == 0 && !request->isQueued && !request->attempt) {
+            bodyReady(request);
+        } else {
+            scheduleResume(request, request->sendingPaused);
+        }
+        return;
+    }
+    auto &buffer = exchange.requestBody();
+    request->body.append(buffer.data(), buffer.size());
+    buffer.clear();
+    if (exchange.isRequestComplete()) {
+        bodyReady(request);
+    }
+}
+
+void RequestHandler::bodyReady(const Pending &request)
+{
+    m_now = MonotonicClock::now();
+    const auto &service = request->traffic->route->document().service;
+    request->fingerprint =
+        requestFingerprint(service, request->method, request->path,
+                           std::string_view(request->body).substr(0, fingerprintBodyBytes), request->requestId);
+    if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
+        refuse(request, *refusal);
+        return;
+    }
+    if (request->id && !passLedger(request)) {
+        return;
+    }
+    if (request->toKeeper) {
+        dispatch(request);
+        return;
+    }
+    admit(request);
+}
+
+void RequestHandler::admit(const Pending &request)
+{
+    auto &traffic = *request->traffic;
+    const auto &document = traffic.route->document();
+    AdmissionRequest entry{
+        request->ticket, document.requests.trafficClass, document.requests.priority, request->deadline, noServer,
+        request->caller};
+    if (document.distribution == Distribution::Keyed) {
+        entry.server = traffic.route->owner(request->hash, m_now).server;
+    }
+    traffic.budget.countFresh();
+    const auto concurrency = traffic.concurrency(m_now, entry.server);
+    const auto decision = traffic.admission.offer(m_now, entry, std::max(concurrency, 1U));
+    if (decision.refusal) {
+        refuse(request, *decision.refusal);
+        return;
+    }
+    request->isQueued = true;
+    traffic.queued.emplace(request->ticket, request);
+    if (decision.displaced) {
+        dropQueued(traffic, {*decision.displaced});
+    }
+    pump(traffic);
+}
+
+bool RequestHandler::fits(ServiceTraffic &traffic, const AdmissionRequest &entry)
+{
+    const auto found = traffic.queued.find(entry.ticket);
+    if (found == traffic.queued.end()) {
+        return true;
+    }
+    const auto owner = traffic.choose(m_now, *found->second);
+    if (traffic.route->document().distribution == Distribution::Keyed) {
+        // Without an owner the request is taken out and refused or delayed by its attempt plan.
+        return owner.reason != Reason::None || traffic.hasRoom(m_now, owner.server);
+    }
+    return owner.reason == Reason::None;
+}
+
+void RequestHandler::pump(ServiceTraffic &traffic)
+{
+    std::vector<DroppedRequest> dropped;
+    while (const auto next = traffic.admission.next(
+               m_now, [&](const AdmissionRequest &it) { return fits(traffic, it); }, dropped)) {
+        const auto found = traffic.queued.find(next->ticket);
+        if (found == traffic.queued.end()) {
+            continue;
+        }
+        const auto request = found->second;
+        traffic.queued.erase(found);
+        request->isQueued = false;
+        dispatch(request);
+    }
+    dropQueued(traffic, dropped);
+}
+
+void RequestHandler::dropQueued(ServiceTraffic &traffic, const std::vector<DroppedRequest> &dropped)
+{
+    for (const auto &it : dropped) {
+        const auto found = traffic.queued.find(it.request.ticket);
+        if (found == traffic.queued.end()) {
+            continue;
+        }
+        const auto request = found->second;
+        traffic.queued.erase(found);
+        request->isQueued = false;
+        refuse(request, it.refusal);
+    }
+}
+
+void RequestHandler::dispatch(const Pending &request)
+{
+    if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
+        refuse(request, *refusal);
+        return;
+    }
+    auto &traffic = *request->traffic;
+    if (request->toKeeper) {
+        request->serverIdentity = {};
+        startAttempt(request, "http://" + request->keeperAddress + request->exchange->target());
+        return;
+    }
+    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveDaemons());
+    const auto owner = traffic.choose(m_now, *request);
+    if (owner.reason != Reason::None) {
+        request->server = noServer;
+        tryAgain(request, {owner.reason, Outcome::NotRun, {}, 0}, AttemptResult{});
+        return;
+    }
+    const auto &server = traffic.route->servers()[owner.server];
+    request->server = owner.server;
+    request->serverIdentity = server.identity;
+    request->token = owner.token;
+    request->handle = traffic.observations.started(m_now, owner.server);
+    startAttempt(request, "http://" + server.address + request->path);
+}
+
+std::vector<std::string> RequestHandler::makeHeaders(const PendingRequest &request, Instant now) const
+{
+    auto lines = request.forwardedHeaders;
+    lines.push_back(fmt::format("Galenarock-Deadline-Ms: {}", remainingForHop(now, request.deadline)));
+    if (request.toKeeper) {
+        const auto mac = peerAuth(m_shared.peerKey(), request.exchange->target() + request.requestId);
+        lines.push_back(fmt::format("{}: {}", PeerAuthHeader, mac));
+    } else {
+        lines.push_back("Galenarock-Service: " + request.traffic->route->document().service);
+        if (!request.key.empty()) {
+            lines.push_back("Galenarock-Key: " + request.key);
+            lines.push_back("Galenarock-Token: " + toString(request.token));
+        }
+        if (!request.requestId.empty()) {
+            lines.push_back("Galenarock-Request-Id: " + request.requestId);
+        }
+    }
+    lines.emplace_back("Expect:"); // libcurl would wait for "100 Continue" before large bodies
+    if (!hasHeader(lines, "Content-Type")) {
+        lines.emplace_back("Content-Type:"); // libcurl would add a form type
+    }
+    return lines;
+}
+
+AttemptHooks RequestHandler::makeHooks(const Pending &request)
+{
+    AttemptHooks hooks;
+    hooks.onHead = [this, request](unsigned status, std::vector<HeaderField> headers) {
+        handleHead(request, status, std::move(headers));
+    };
+    hooks.onData = [this, request](const char *bytes, std::size_t n) {
+        return handleData(request, bytes, n);
+    };
+    hooks.onDone = [this, request](const AttemptResult &result) {
+        handleDone(request, result);
+    };
+    if (request->streamsBody) {
+        hooks.readBody = [this, request](char *out, std::size_t n) {
+            return readBody(*request, out, n);
+        };
+    }
+    return hooks;
+}
+
+void RequestHandler::startAttempt(const Pending &request, const std::string &url)
+{
+    request->plan->started();
+    request->traffic->attempts.add();
+    AttemptRequest attempt;
+    attempt.method = request->method;
+    attempt.url = url;
+    attempt.headerLines = makeHeaders(*request, m_now);
+    attempt.body = request->body.data();
+    attempt.bodySize = request->streamsBody ? request->bodySize : static_cast<std::int64_t>(request->body.size());
+    attempt.timeoutMs = std::max<std::int64_t>(1, duration_cast<milliseconds>(request->deadline - m_now).count());
+    request->responseStatus = 0;
+    request->responseHeaders.clear();
+    request->responseBody.clear();
+    request->serverRefusal = Reason::None;
+    request->keeperUnknown = false;
+    request->attemptStartedAt = m_now;
+    request->attempt = m_upstream.start(std::move(attempt), makeHooks(request));
+}
+
+std::size_t RequestHandler::readBody(PendingRequest &request, char *out, std::size_t n) const
+{
+    auto &exchange = *request.exchange;
+    const auto taken = exchange.requestBody().take(out, n);
+    if (taken > 0) {
+        request.bodyReceived += taken;
+        if (request.bodyReceived > request.traffic->route->document().requests.maxBodyBytes) {
+            return CURL_READFUNC_ABORT;
+        }
+        exchange.continueRequestBody();
+        return taken;
+    }
+    if (exchange.isRequestComplete()) {
+        return 0;
+    }
+    if (exchange.isCallerGone()) {
+        return CURL_READFUNC_ABORT;
+    }
+    request.sendingPaused = true;
+    return CURL_READFUNC_PAUSE;
+}
+
+void RequestHandler::scheduleResume(const Pending &request, bool isPaused)
+{
+    if (isPaused && request->attempt) {
+        m_toResume.push_back(request);
+    }
+}
+
+void RequestHandler::run(Instant now)
+{
+    m_now = now;
+    const auto list = std::move(m_toResume);
+    m_toResume.clear();
+    for (const auto &it : list) {
+        if (!it->attempt) {
+            continue;
+        }
+        it->sendingPaused = false;
+        it->receivingPaused = false;
+        m_upstream.resume(it->attempt);
+    }
+    auto delayed = std::move(m_delayed);
+    m_delayed.clear();
+    for (auto &it : delayed) {
+        if (it.request->finished) {
+            continue;
+        }
+        if (it.at > now) {
+            m_delayed.push_back(std::move(it));
+            continue;
+        }
+        dispatch(it.request);
+    }
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + SweepInterval;
+    for (const auto &[name, it] : m_traffic) {
+        it->refresh(now, m_shared.snapshot(), m_shared.liveDaemons());
+        pump(*it);
+    }
+    if (now >= m_nextLoad) {
+        m_nextLoad = now + LoadInterval;
+        reportLoad(now);
+    }
+}
+
+void RequestHandler::reportLoad(Instant now)
+{
+    for (const auto &[name, it] : m_traffic) {
+        if (it->route->document().distribution != Distribution::Keyed) {
+            continue;
+        }
+        auto report = it->load.take(now);
+        report.service = name;
+        m_shared.loads().add(report);
+    }
+}
+
+}
