Avoid counting all slices for each split candidate

Cause: splitHeavySlices() counted all slices before the cheaper conditions, so a round with 100 servers and 10,000 slices took 121 ms on the control thread. Ruled out: a running count, which every reshape would have to maintain.

--- a/src/ownership/placementslices.cpp
+++ b/src/ownership/placementslices.cpp
@@ -193,8 +193,9 @@
     {
         for (std::size_t n = 0; n < slices().size() && mayReshape(); ++n) {
             const DraftSlice whole = slices()[n];
-            if (whole.isReshaped || whole.range.isSingleKey() || !hasRoomForSlices() || !isOverloaded(whole.owner)
-                || std::max(whole.load, whole.keys) < splitShare * m_meanLoad) {
+            // The count over all slices comes last, because it makes the loop quadratic.
+            if (whole.isReshaped || whole.range.isSingleKey() || !isOverloaded(whole.owner)
+                || std::max(whole.load, whole.keys) < splitShare * m_meanLoad || !hasRoomForSlices()) {
                 continue;
             }
             DraftSlice low = whole;
