--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -179,7 +179,7 @@
     const auto owner = traffic.choose(m_now, *found->second);
     if (traffic.route->document().distribution == Distribution::Keyed) {
         // Without an owner the request is taken out and refused or delayed by its attempt plan.
-        return owner.reason != Reason::None || traffic.hasRoom(m_now, owner.server);
+        return owner.reason != Reason::None || traffic.hasRoom(owner.server);
     }
     return owner.reason == Reason::None;
 }
@@ -227,7 +227,7 @@
         startAttempt(request, "http://" + request->keeperAddress + request->exchange->target());
         return;
     }
-    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveDaemons());
+    traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
     const auto owner = traffic.choose(m_now, *request);
     if (owner.reason != Reason::None) {
         request->server = noServer;
@@ -365,7 +365,7 @@
     }
     m_nextSweep = now + SweepInterval;
     for (const auto &[name, it] : m_traffic) {
-        it->refresh(now, m_shared.snapshot(), m_shared.liveDaemons());
+        it->refresh(now, m_shared.snapshot(), m_shared.liveWorkers());
         pump(*it);
     }
     if (now >= m_nextLoad) {
