--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -30,7 +30,9 @@
     local it
     # The daemons first: their planned stop needs the platform and the servers.
     for it in load vm-1 vm-2 vm-3; do
-        [ -n "${pid[$it]:-}" ] && kill -TERM "${pid[$it]}" 2>/dev/null || true
+        if is_running "$it"; then
+            kill -TERM "${pid[$it]}" || true
+        fi
     done
     # The last daemon finds nobody to hand its mandates to and waits; it is killed below.
     for _ in $(seq 30); do
@@ -104,7 +106,7 @@
     start_daemon "$n" 127.0.0.1:0 127.0.0.1:0 127.0.0.1:0
 done
 services=(vitrina tostadero almacen)
-load_args=(--mix vitrina=70,tostadero=20,almacen=10 --keys 2000)
+load_args=(--mix "vitrina=70,tostadero=20,almacen=10" --keys 2000)
 for it in "${services[@]}"; do
     control=$(listening "$it" 2)
     curl -sS --fail -m 5 "http://$control/control/vms" >"$logs/$it.vms"
--- a/src/standin/events_p.h
+++ b/src/standin/events_p.h
@@ -5,7 +5,6 @@
 /// Log events of the stand-ins.
 namespace Galenarock::Standin::Events
 {
-inline constexpr EventType Listening{801, Severity::Info, "listening"};
 inline constexpr EventType Stopping{802, Severity::Info, "stopping"};
 inline constexpr EventType HttpLibrary{803, Severity::Debug, "http-library"};
 inline constexpr EventType ListenFailed{804, Severity::Error, "listen-failed"};
