Enforce permits for pools that do not check; pass a server's unknown on

Cause: the control core issued permits for pools that do not check grants, but the proxy did not look at them and told nobody about requests in flight.

Unit tests for the new parts pass. There is no live run with an unchecked pool.

--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -12,6 +12,7 @@
 #include <galenarock/requestkeeper.h>
 #include <galenarock/routing.h>
 #include <galenarock/sharedsuspects.h>
+#include <galenarock/uncheckedpools.h>
 
 /// The HTTP proxy: worker threads that take callers' requests, choose a backend server and stream the response back.
 namespace Galenarock
@@ -82,6 +83,10 @@
     {
         return m_loads;
     }
+    UncheckedPools &uncheckedPools()
+    {
+        return m_uncheckedPools;
+    }
     SharedSuspects &suspects()
     {
         return m_suspects;
@@ -98,6 +103,7 @@
     RequestKeeper m_keeper;
     SharedSuspects m_suspects;
     LoadCollector m_loads;
+    UncheckedPools m_uncheckedPools;
     std::atomic<std::uint32_t> m_liveDaemons{1};
     std::uint32_t m_workers = 1;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -15,6 +15,8 @@
 /// Servers of balanced services hold no grants; the poll shows their boot number and their own drain signal, which must
 /// stop new work within 2 s.
 constexpr Duration BalancedPollInterval = seconds(1);
+/// A stop of a slice is asked about at least each 400 ms until it is acknowledged; a later question is about another.
+constexpr Duration StopQuestionLifetime = seconds(1);
 /// About 0.6 KB for each keyed service and interval.
 constexpr Duration LoadInterval = seconds(10);
 
@@ -106,7 +108,7 @@
 {
 }
 
-ShardSettings ControlPlane::shardSettings(const ServiceDocument &document) const
+ShardSettings ControlPlane::shardSettings(const ServiceDocument &document)
 {
     ShardSettings settings;
     settings.self = m_settings.self;
@@ -119,12 +121,16 @@
         // A server that checks refuses every renewal whose nonce is not the newest, and the term is counted from the
         // nonce; so a renewal that still waits in a ring extends nothing beyond the bound that the stop reports.
         settings.outgoingEmpty = m_hooks.outgoingEmpty;
+        settings.mayRun = [this, service = document.service](const Identity &server, const SliceRange &range) {
+            return !isStopPublished(service, server, range) || m_hooks.mayRun(service, server, range);
+        };
     }
     return settings;
 }
 
 void ControlPlane::handle(Instant now, const ControlEvent &event)
 {
+    m_now = now;
     if (const auto *vms = std::get_if<VmListEvent>(&event)) {
         if (vms->list == m_vms) {
             return;
@@ -315,9 +321,10 @@
 void ControlPlane::endBatch(Instant now)
 {
     if (m_dirty) {
-        m_dirty = false;
         publishSnapshot(now);
     }
+    publishPermits();
+    ++m_batch;
     if (m_config.wantsWatch() != m_isRelay) {
         m_isRelay = m_config.wantsWatch();
         m_hooks.relayChanged(m_isRelay);
@@ -329,8 +336,29 @@
     }
 }
 
+bool ControlPlane::isStopPublished(const std::string &service, const Identity &server, const SliceRange &range)
+{
+    const auto [it, isNew] = m_stopQuestions.try_emplace({service, server, range}, StopQuestion{m_batch, m_now});
+    auto &question = it->second;
+    if (m_now - question.lastAskedAt > StopQuestionLifetime) {
+        question.firstBatch = m_batch;
+    }
+    question.lastAskedAt = m_now;
+    return !isNew && question.firstBatch != m_batch;
+}
+
+void ControlPlane::publishPermits()
+{
+    for (const auto &[name, it] : m_shards.controllers()) {
+        if (const auto end = it->routePermitEnd()) {
+            m_hooks.permitChanged(name, *end);
+        }
+    }
+}
+
 void ControlPlane::publishSnapshot(Instant now)
 {
+    m_dirty = false;
     RoutingInput input;
     input.documents = m_documents.documents();
     for (const auto &[name, it] : m_assignments) {
--- a/src/daemon/controlplane_p.h
+++ b/src/daemon/controlplane_p.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include <galenarock/config.h>
 #include <galenarock/control.h>
@@ -38,6 +39,10 @@
     std::function<std::vector<LoadReport>()> takeLoads;
     /// A peer message of the request cores.
     std::function<void(const PeerEvent &)> requestMessage;
+    /// Pools that do not check grants: the end of this daemon's permit to send.
+    std::function<void(const std::string &service, Instant end)> permitChanged;
+    /// Pools that do not check grants: whether a request of this daemon may still run.
+    std::function<bool(const std::string &service, const Identity &server, const SliceRange &range)> mayRun;
     /// Rings that carry commands out are empty (rule R9).
     std::function<bool()> outgoingEmpty;
 };
@@ -89,8 +94,18 @@
     void publishAssignment(const Assignment &assignment);
     void publishMembers(Instant now, const std::vector<Member> &members);
     void publishSnapshot(Instant now);
+    void publishPermits();
+    /// Workers see a stop only after the batch of events in which the shard learned it. False on the first question, so
+    /// that requests are looked at only when no worker can still route by the earlier snapshot.
+    bool isStopPublished(const std::string &service, const Identity &server, const SliceRange &range);
     void publishStatus(Instant now);
-    ShardSettings shardSettings(const ServiceDocument &document) const;
+    ShardSettings shardSettings(const ServiceDocument &document);
+
+    struct StopQuestion
+    {
+        std::uint64_t firstBatch = 0;
+        Instant lastAskedAt;
+    };
 
     ControlPlaneSettings m_settings;
     ControlPlaneHooks m_hooks;
@@ -109,6 +124,9 @@
     bool m_isRelay = false;
     bool m_dirty = false;
     bool m_ledgerStarted = false;
+    std::map<std::tuple<std::string, Identity, SliceRange>, StopQuestion> m_stopQuestions;
+    std::uint64_t m_batch = 0;
+    Instant m_now{};
     Instant m_nextStatus{};
     Instant m_nextPoll{};
     Instant m_nextLoads{};
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -123,6 +123,7 @@
     };
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
         shared.suspects().bootSeen(MonotonicClock::now(), server, boot);
+        shared.uncheckedPools().forget(server, boot);
     };
     hooks.takeLoads = [this] {
         return shared.loads().takeAll();
@@ -130,6 +131,12 @@
     hooks.requestMessage = [this](const PeerEvent &it) {
         receiveRequestMessage(it);
     };
+    hooks.permitChanged = [this](const std::string &service, Instant end) {
+        shared.uncheckedPools().setPermitEnd(service, end);
+    };
+    hooks.mayRun = [this](const std::string &service, const Identity &server, const SliceRange &range) {
+        return shared.uncheckedPools().mayRun(service, server, range);
+    };
     hooks.outgoingEmpty = [this] {
         return servers->isIdle();
     };
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -8,6 +8,7 @@
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
 #include <galenarock/suspects.h>
+#include <galenarock/uncheckedpools.h>
 
 #include "exchange_p.h"
 #include "upstream_p.h"
@@ -66,6 +67,8 @@
     /// Name and boot of the server of the present attempt.
     Identity serverIdentity;
     ServerHandle handle = 0;
+    /// Entered in UncheckedPools during an attempt at a server that does not check grants; 0 otherwise.
+    UncheckedPools::Ticket uncheckedTicket = 0;
     Token token;
     Instant attemptStartedAt;
     bool sendingPaused = false;
@@ -76,8 +79,8 @@
     std::string responseBody;
     /// Reason given by the server that it did not run the request; Reason::None for a real response.
     Reason serverRefusal = Reason::None;
-    /// Reported by another daemon that kept the request id: the request may have run.
-    bool keeperUnknown = false;
+    /// The server, or the daemon that keeps the request id, reported that the request may have run.
+    bool saidUnknown = false;
     std::string reportedLoad;
     bool streamsResponse = false;
     bool finished = false;
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -238,10 +238,33 @@
     request->server = owner.server;
     request->serverIdentity = server.identity;
     request->token = owner.token;
+    if (!enterUnchecked(request)) {
+        request->server = noServer;
+        tryAgain(request, {Reason::OwnerUnavailable, Outcome::NotRun, {}, 0}, AttemptResult{});
+        return;
+    }
     request->handle = traffic.observations.started(m_now, owner.server);
     startAttempt(request, "http://" + server.address + request->path);
 }
 
+bool RequestHandler::enterUnchecked(const Pending &request)
+{
+    const auto &traffic = *request->traffic;
+    const auto &document = traffic.route->document();
+    if (document.pool.checksGrants || document.distribution != Distribution::Keyed) {
+        return true;
+    }
+    auto &pools = m_shared.uncheckedPools();
+    const auto ticket = pools.enter(document.service, request->serverIdentity, request->hash);
+    const bool isCurrent = m_shared.snapshot() == traffic.snapshot;
+    if (!isCurrent || !pools.hasPermit(document.service, MonotonicClock::now())) {
+        pools.leave(ticket, false);
+        return false;
+    }
+    request->uncheckedTicket = ticket;
+    return true;
+}
+
 std::vector<std::string> RequestHandler::makeHeaders(const PendingRequest &request, Instant now) const
 {
     auto lines = request.forwardedHeaders;
@@ -301,7 +324,7 @@
     request->responseHeaders.clear();
     request->responseBody.clear();
     request->serverRefusal = Reason::None;
-    request->keeperUnknown = false;
+    request->saidUnknown = false;
     request->attemptStartedAt = m_now;
     request->attempt = m_upstream.start(std::move(attempt), makeHooks(request));
 }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -60,6 +60,8 @@
 
     // attempts
     void dispatch(const Pending &request);
+    /// False when this daemon may not send to the owner now, a server that does not check grants.
+    bool enterUnchecked(const Pending &request);
     void startAttempt(const Pending &request, const std::string &url);
     AttemptHooks makeHooks(const Pending &request);
     std::vector<std::string> makeHeaders(const PendingRequest &request, Instant now) const;
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -27,6 +28,19 @@
     return headers;
 }
 
+/// Reason that a server or another daemon gave for its refusal.
+Reason reasonOfServer(std::string_view code, bool saidUnknown)
+{
+    if (code == "deadline") {
+        return saidUnknown ? Reason::DeadlinePassed : Reason::DeadlineTooShort;
+    }
+    const auto reason = reasonFromCode(code);
+    if (reason != Reason::None) {
+        return reason;
+    }
+    return saidUnknown ? Reason::ConnectionLost : Reason::ServerShed;
+}
+
 /// Why an attempt gave no complete response.
 Reason reasonOf(const PendingRequest &request, const AttemptResult &result)
 {
@@ -65,10 +79,9 @@
     request->responseStatus = status;
     request->reportedLoad = fieldOf(headers, "Galenarock-Load");
     const auto outcome = fieldOf(headers, "Galenarock-Outcome");
-    if (outcome == toString(Outcome::NotRun) || (request->toKeeper && outcome == toString(Outcome::Unknown))) {
-        const auto reason = reasonFromCode(fieldOf(headers, "Galenarock-Reason"));
-        request->serverRefusal = reason == Reason::None ? Reason::ServerShed : reason;
-        request->keeperUnknown = outcome == toString(Outcome::Unknown);
+    if (outcome == toString(Outcome::NotRun) || outcome == toString(Outcome::Unknown)) {
+        request->saidUnknown = outcome == toString(Outcome::Unknown);
+        request->serverRefusal = reasonOfServer(fieldOf(headers, "Galenarock-Reason"), request->saidUnknown);
         return;
     }
     const auto length = parseNumber(fieldOf(headers, "Content-Length"));
@@ -119,7 +132,7 @@
         answer(request);
     } else if (request->streamsResponse) {
         cutResponse(request, result.error);
-    } else if (request->keeperUnknown) {
+    } else if (request->saidUnknown) {
         refuse(request, {request->serverRefusal, Outcome::Unknown, {}, 0});
     } else {
         tryAgain(request, {reason, reasonInfo(reason).outcome, result.error, 0}, result);
@@ -136,6 +149,10 @@
     if (request.server == noServer) {
         return;
     }
+    if (request.uncheckedTicket != 0) {
+        const bool mayStillRun = result.sent && !result.complete;
+        m_shared.uncheckedPools().leave(std::exchange(request.uncheckedTicket, 0), mayStillRun);
+    }
     const auto latency = m_now - request.attemptStartedAt;
     request.traffic->observations.finished(
         m_now, request.handle,
@@ -239,8 +256,9 @@
         request->traffic->queued.erase(request->ticket);
         request->isQueued = false;
     }
-    // A non-repeatable request runs to its end, so that its outcome can be recorded for a repeat.
-    const bool mayCancel = request->idempotent || request->streamsBody;
+    // A non-repeatable request runs to its end, so that its outcome can be recorded for a repeat. So does one at a
+    // server that does not check grants, since a cancelled request would block moves until the server is gone.
+    const bool mayCancel = (request->idempotent || request->streamsBody) && request->uncheckedTicket == 0;
     const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
     if (request->attempt && mayCancel) {
         m_upstream.cancel(request->attempt);
--- a/src/proxy/tests/proxytest.cpp
+++ b/src/proxy/tests/proxytest.cpp
@@ -196,6 +196,20 @@
     EXPECT_EQ(server.requests(), 1);
 }
 
+// Guards against a server's own "unknown" that reaches the caller as an ordinary response without its outcome.
+TEST_F(ProxyTest, outcomeUnknownOfAServerIsPassedOn)
+{
+    RawServer server([](int, const std::string &) {
+        return "HTTP/1.1 504 Gateway Timeout\r\nGalenarock-Outcome: unknown\r\nGalenarock-Reason: deadline\r\n"
+               "Content-Length: 0\r\n\r\n";
+    });
+    start(Distribution::Balanced, {server.address()});
+    const auto result = call(proxy.address(), "POST", "/shop/orders", {"Idempotency-Key: " + newRequestId(4)}, "x");
+    EXPECT_NE(result.body.find("\"outcome\":\"unknown\""), std::string::npos) << result.body;
+    EXPECT_NE(result.body.find("deadline-passed"), std::string::npos) << result.body;
+    EXPECT_EQ(server.requests(), 1);
+}
+
 // Guards against a repeated order that runs a second time instead of getting the recorded response.
 TEST_F(ProxyTest, repeatedOrderGetsTheRecordedResponse)
 {
