--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -9,6 +9,7 @@
 #include <galenarock/loadreport.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
+#include <galenarock/replay.h>
 #include <galenarock/requestkeeper.h>
 #include <galenarock/routing.h>
 #include <galenarock/sharedsuspects.h>
@@ -91,6 +92,20 @@
     {
         return m_suspects;
     }
+    /// Trace for trials, set before the workers start; null when none is written.
+    void setTrace(TraceWriter *trace)
+    {
+        m_trace = trace;
+    }
+    TraceWriter *trace() const
+    {
+        return m_trace;
+    }
+    /// Number of a request in the trace; unique in this process.
+    std::uint64_t nextTraceNumber()
+    {
+        return m_nextTraceNumber.fetch_add(1, std::memory_order_relaxed);
+    }
     /// Requests that have arrived and have no outcome yet.
     std::atomic<std::int64_t> &inFlight()
     {
@@ -106,6 +121,8 @@
     UncheckedPools m_uncheckedPools;
     std::atomic<std::uint32_t> m_liveDaemons{1};
     std::uint32_t m_workers = 1;
+    TraceWriter *m_trace = nullptr;
+    std::atomic<std::uint64_t> m_nextTraceNumber{1};
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::atomic<bool> m_refusing{false};
     std::atomic<std::int64_t> m_inFlight{0};
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -190,7 +190,7 @@
         return;
     }
     m_ledgerStarted = true;
-    carryOut(now, m_shards.setDocument(now, ledgerDocument()));
+    carryOut(now, "ownership", m_shards.setDocument(now, ledgerDocument()));
 }
 
 void ControlPlane::pollBalanced(Instant now)
@@ -252,9 +252,12 @@
 
 void ControlPlane::step(Instant now, const ControlEvent &event)
 {
-    carryOut(now, m_membership.step(now, event));
-    carryOut(now, m_config.step(now, event));
-    carryOut(now, m_shards.step(now, event));
+    if (m_hooks.trace) {
+        m_hooks.trace(EventRecord{now, event});
+    }
+    carryOut(now, "membership", m_membership.step(now, event));
+    carryOut(now, "configuration", m_config.step(now, event));
+    carryOut(now, "ownership", m_shards.step(now, event));
     for (const auto &it : m_config.takeChanged()) {
         adopt(now, it);
     }
@@ -263,23 +266,29 @@
 void ControlPlane::adopt(Instant now, const StoredObject &object)
 {
     if (object.key.kind != ObjectKind::Service) {
-        carryOut(now, m_shards.step(now, ObjectEvent{object, false}));
+        carryOut(now, "ownership", m_shards.step(now, ObjectEvent{object, false}));
         return;
     }
     if (!m_documents.apply(object)) {
         return;
     }
     m_dirty = true;
+    if (m_hooks.trace) {
+        m_hooks.trace(ConfigurationRecord{now, object.key.name, object.version});
+    }
     for (const auto &it : m_documents.documents()) {
         if (it.service == object.key.name) {
-            carryOut(now, m_shards.setDocument(now, it));
+            carryOut(now, "ownership", m_shards.setDocument(now, it));
         }
     }
 }
 
-void ControlPlane::carryOut(Instant now, ControlActions actions)
+void ControlPlane::carryOut(Instant now, const std::string &core, ControlActions actions)
 {
     for (const auto &action : actions) {
+        if (m_hooks.trace) {
+            m_hooks.trace(ActionRecord{now, core, action});
+        }
         if (const auto *read = std::get_if<ReadObjectAction>(&action)) {
             m_hooks.readObject(*read);
         } else if (const auto *write = std::get_if<WriteObjectAction>(&action)) {
--- a/src/daemon/controlplane_p.h
+++ b/src/daemon/controlplane_p.h
@@ -11,6 +11,7 @@
 #include <galenarock/control.h>
 #include <galenarock/loadreport.h>
 #include <galenarock/membership.h>
+#include <galenarock/replay.h>
 #include <galenarock/routing.h>
 
 #include "decisionlog_p.h"
@@ -37,6 +38,8 @@
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     /// Load by key range that this daemon counted since the last call.
     std::function<std::vector<LoadReport>()> takeLoads;
+    /// Records for the trace; empty when none is written.
+    std::function<void(TraceRecord)> trace;
     /// A peer message of the request cores.
     std::function<void(const PeerEvent &)> requestMessage;
     /// Pools that do not check grants: the end of this daemon's permit to send.
@@ -90,7 +93,8 @@
     void spreadLoads(Instant now);
     void receiveLoad(Instant now, const std::string &daemon, LoadReport report);
     void adopt(Instant now, const StoredObject &object);
-    void carryOut(Instant now, ControlActions actions);
+    /// `core` names the actions in the trace.
+    void carryOut(Instant now, const std::string &core, ControlActions actions);
     void publishAssignment(const Assignment &assignment);
     void publishMembers(Instant now, const std::vector<Member> &members);
     void publishSnapshot(Instant now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include <galenarock/peer.h>
 #include <galenarock/platformclient.h>
 #include <galenarock/proxy.h>
+#include <galenarock/replay.h>
 
 #include "adminserver_p.h"
 #include "controlplane_p.h"
@@ -53,6 +54,8 @@
     Settings settings;
     Identity self;
     Metrics metrics;
+    /// Before the threads' owners, so that it outlives every writer.
+    std::unique_ptr<TraceWriter> trace;
     ProxyShared shared;
     Proxy proxy;
     std::unique_ptr<ControlPlane> plane;
@@ -65,6 +68,7 @@
 
 private:
     ControlPlaneHooks makeHooks();
+    Result<void> openTrace();
     Result<void> openPeers();
     void openPlatform();
     void setMembers(const std::vector<Member> &members);
@@ -137,6 +141,11 @@
     hooks.mayRun = [this](const std::string &service, const Identity &server, const SliceRange &range) {
         return shared.uncheckedPools().mayRun(service, server, range);
     };
+    if (trace) {
+        hooks.trace = [this](const TraceRecord &it) {
+            trace->write(it);
+        };
+    }
     hooks.outgoingEmpty = [this] {
         return servers->isIdle();
     };
@@ -181,6 +190,20 @@
     }
 }
 
+Result<void> Daemon::Impl::openTrace()
+{
+    if (settings.trace.empty()) {
+        return {};
+    }
+    const TraceHeader header{self.boot, self, MonotonicClock::now(), wallClockNow()};
+    trace = std::make_unique<TraceWriter>(settings.trace, header);
+    if (!trace->isGood()) {
+        return fail(ErrorCode::SystemCall, fmt::format("cannot write the trace {}", settings.trace));
+    }
+    shared.setTrace(trace.get());
+    return {};
+}
+
 Result<void> Daemon::Impl::openPeers()
 {
     PeerTransportSettings transport;
@@ -212,6 +235,7 @@
                              [this](Instant now) {
                                  plane->endBatch(now);
                              }});
+    BOOST_LEAF_CHECK(openTrace());
     BOOST_LEAF_CHECK(openPeers());
     BOOST_LEAF_CHECK(proxy.start({toString(settings.listen), settings.workers}));
     servers = std::make_unique<ServerCaller>(
@@ -258,6 +282,8 @@
     control->stop();
     servers->stop();
     proxy.stop();
+    shared.setTrace(nullptr);
+    trace.reset();
     logEvent(Events::DaemonStopped, "after {} ms",
              duration_cast<milliseconds>(MonotonicClock::now() - startedAt).count());
     return finished;
--- a/src/proxy/keeperhop.cpp
+++ b/src/proxy/keeperhop.cpp
@@ -33,6 +33,7 @@
 void RequestHandler::repeatAnswer(const Pending &request, const RecordedResponse &response)
 {
     request->traffic->repeated.add();
+    traceOutcome(*request, Outcome::Answered, Reason::None);
     std::vector<HeaderField> headers;
     for (const auto &[name, value] : response.headers) {
         headers.push_back({name, value});
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -32,6 +32,8 @@
     /// Service, document and servers as of the newest snapshot; null until the service is known.
     ServiceTraffic *traffic = nullptr;
     std::uint64_t ticket = 0;
+    /// Number in the trace; 0 when the request is not traced.
+    std::uint64_t traceNumber = 0;
 
     std::string method;
     /// Path after the service's name, with the query.
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -65,6 +65,7 @@
         return;
     }
     const auto refusal = classify(*request, *exchange);
+    traceAccepted(*request);
     if (refusal.reason != Reason::None) {
         refuse(request, refusal);
         return;
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -79,6 +79,8 @@
     void refuse(const Pending &request, const Refusal &refusal);
     void cutResponse(const Pending &request, const std::string &error);
     void finish(const Pending &request);
+    void traceAccepted(PendingRequest &request) const;
+    void traceOutcome(const PendingRequest &request, Outcome outcome, Reason reason) const;
     void scheduleResume(const Pending &request, bool isPaused);
     static void withRequest(const std::weak_ptr<PendingRequest> &weak,
                             const std::function<void(const Pending &)> &body);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -192,6 +192,7 @@
 void RequestHandler::answer(const Pending &request)
 {
     request->traffic->answered.add();
+    traceOutcome(*request, Outcome::Answered, Reason::None);
     request->traffic->latency.record(std::chrono::duration<double>(m_now - request->arrivedAt).count());
     m_shared.suspects().succeeded(m_now, request->fingerprint);
     if (request->inLedger) {
@@ -216,6 +217,7 @@
     logEvent(Events::ResponseCut, "service {}: {}", request->traffic->route->document().service, error);
     request->traffic->refusals(Reason::ResponseCut).add();
     recordOutcome(*request, {Reason::ResponseCut, Outcome::Unknown, {}, 0});
+    traceOutcome(*request, Outcome::Unknown, Reason::ResponseCut);
     request->exchange->abortResponse();
     finish(request);
 }
@@ -225,6 +227,7 @@
     auto &counter = request->traffic ? request->traffic->refusals(refusal.reason)
                                      : *m_unroutedRefusals[static_cast<std::size_t>(refusal.reason)];
     counter.add();
+    traceOutcome(*request, refusal.outcome, refusal.reason);
     logEvent(Events::RequestRefused, "{} {}: {} {}", request->method, request->exchange->target(),
              reasonInfo(refusal.reason).code, refusal.detail);
     recordOutcome(*request, refusal);
@@ -268,7 +271,9 @@
         }
     }
     if (!request->attempt) {
-        recordOutcome(*request, {Reason::ConnectionLost, wasSent ? Outcome::Unknown : Outcome::NotRun, {}, 0});
+        const auto outcome = wasSent ? Outcome::Unknown : Outcome::NotRun;
+        recordOutcome(*request, {Reason::ConnectionLost, outcome, {}, 0});
+        traceOutcome(*request, outcome, Reason::ConnectionLost);
         finish(request);
     }
 }
