Make experiment.sh fail on incomplete journals and stale reports

Cause: read-through. Change: the report is removed before each row; incomplete journals and answers without a run fail the row. Processes are ended only while they run.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -9,7 +9,9 @@
     local it
     # The daemons first: their planned stop needs the platform and the servers.
     for it in load vm-1 vm-2 vm-3; do
-        [ -n "${pid[$it]:-}" ] && kill -TERM "${pid[$it]}" 2>/dev/null || true
+        if is_running "$it"; then
+            kill -TERM "${pid[$it]}" || true # it may end between the two calls
+        fi
     done
     # The last daemon finds nobody to hand its mandates to and waits; it is killed below.
     for _ in $(seq 30); do
@@ -17,7 +19,9 @@
         sleep 0.1
     done
     for it in "${!pid[@]}"; do
-        kill -TERM "${pid[$it]}" 2>/dev/null || true
+        if is_running "$it"; then
+            kill -TERM "${pid[$it]}" || true
+        fi
     done
     sleep 0.2
     for it in $(jobs -rp); do
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -69,7 +69,7 @@
     pid[load]=$!
     sleep 4
     "fault_$row"
-    wait "${pid[load]}" || true
+    wait "${pid[load]}" || true # the audit in the report decides, below
 )
 
 print_table() {
@@ -93,11 +93,13 @@
     mkdir -p "$out"
     [ $# -gt 0 ] && rows=("$@")
     for it in "${rows[@]}"; do
+        rm -f "$out/$it.json" # a load that fails must not leave an earlier report in the table
         run_row "$it"
     done
     print_table "${rows[@]}"
     for it in "${rows[@]}"; do
-        jq -e '.doubled + .mixedUp + .cut + .falseNotRun + .staleOwnerRuns == 0' "$out/$it.json" >/dev/null ||
+        jq -e '.journalsComplete and
+            .doubled + .mixedUp + .cut + .falseNotRun + .staleOwnerRuns + .answeredWithoutRun == 0' "$out/$it.json" >/dev/null ||
             { echo "experiment.sh: $it violates the audit" >&2; exit 1; }
     done
     ;;
