Send changes of the lease table at a bounded rate; let the largest VM lead

Cause: on 82 VMs the leader sent its whole table (9 KB) by TCP to all members at each change, some 40 Mbit/s on a link of 10 Mbit/s while 143 servers registered. Its grants arrived seconds late (OWNER, 548 ms), its store calls timed out and the lead went round six daemons in 17 s; each report of load also named all 143 servers. Ruled out: the takeover rules; every late grant had been sent by the leader of its time. Change: the leader sends the slices that differ, with a pause in proportion to the bytes; reports name servers with new answers only; large VMs lead first and the wait for one's turn is bounded; a first division waits until servers have registered; the number of moves in one plan grows with the servers. The test of the fleet's start is new; that it fails on the former code was not run.

--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -206,11 +206,14 @@
     MemberStatus status = MemberStatus::Alive;
     /// False once the platform's VM list no longer names the VM.
     bool listed = true;
+    /// Processor time that the VM may use, in hundredths of a core. Control duties go to large VMs first.
+    std::uint16_t cpuPercent = 100;
 
     friend bool operator==(const Member &a, const Member &b)
     {
         return a.identity == b.identity && a.failureDomain == b.failureDomain && a.address == b.address
-            && a.peerAddress == b.peerAddress && a.status == b.status && a.listed == b.listed;
+            && a.peerAddress == b.peerAddress && a.status == b.status && a.listed == b.listed
+            && a.cpuPercent == b.cpuPercent;
     }
 };
 
--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -120,6 +120,8 @@
 inline constexpr std::uint16_t Load = Announce + 3;
 /// Former leader to its successor: it has stopped ordering.
 inline constexpr std::uint16_t Stopped = Announce + 4;
+/// Leader to all: the slices that differ from an earlier version of the table.
+inline constexpr std::uint16_t TableChange = Announce + 5;
 }
 
 /// The part of a peer message that names service and table version.
@@ -162,8 +164,11 @@
     Duration announceEvery = milliseconds(150);
     /// Silence of the leader after which another daemon takes over.
     Duration takeoverAfter = milliseconds(650);
-    /// Additional silence for each daemon that comes earlier in the order of names.
+    /// Additional silence for each daemon that comes earlier in the order of succession.
     Duration takeoverStagger = milliseconds(150);
+    /// Bytes a second that the leader spends on sending its table; a fifth of a link of 10 Mbit/s. A table that
+    /// changes faster is sent less often, with all changes in one message.
+    double tableBytesPerSecond = 250'000;
     Duration planEvery = milliseconds(300);
     /// Width of the smallest range that is moved by itself; a power of two.
     KeyHash grain = KeyHash(1) << 48;
--- a/include/galenarock/platform.h
+++ b/include/galenarock/platform.h
@@ -80,12 +80,14 @@
     std::uint64_t boot = 0;
     /// Requests that a backend server runs at once; 0 when the platform does not tell.
     std::uint32_t slots = 0;
+    /// Entry VMs: processor time that the daemon may use, in hundredths of a core.
+    std::uint16_t cpuPercent = 100;
 
     friend bool operator==(const VmEntry &a, const VmEntry &b)
     {
         return a.name == b.name && a.role == b.role && a.service == b.service && a.failureDomain == b.failureDomain
             && a.address == b.address && a.peerAddress == b.peerAddress && a.state == b.state && a.boot == b.boot
-            && a.slots == b.slots;
+            && a.slots == b.slots && a.cpuPercent == b.cpuPercent;
     }
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -163,6 +163,8 @@
      applyAmount<&Settings::retryAllowance>},
     {{"longest-hold-ms", "MS", "10000", false, "gateway: longest time for which servers take keys"},
      applyNumber<&Settings::longestHoldMs, 100, dayMs>},
+    {{"cpu-share", "CORES", "1", false, "gateway: processor time that this VM may use; large VMs lead first"},
+     applyAmount<&Settings::cpuShare>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -259,6 +259,7 @@
     planeSettings.seed = self.boot;
     planeSettings.retryPercent = settings.retryPercent;
     planeSettings.longestHold = milliseconds(settings.longestHoldMs);
+    planeSettings.cpuPercent = static_cast<std::uint16_t>(std::clamp(settings.cpuShare * 100, 1.0, 65'535.0));
     openStore();
     plane = std::make_unique<GatewayPlane>(planeSettings, dialect, makeHooks());
     BOOST_LEAF_CHECK(readiness.listen(settings.readiness.address, settings.readiness.port));
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -26,6 +26,7 @@
     membership.self.failureDomain = settings.failureDomain;
     membership.self.address = settings.address;
     membership.self.peerAddress = peerAddress;
+    membership.self.cpuPercent = settings.cpuPercent;
     membership.startIncarnation = static_cast<std::uint64_t>(wallClockNow());
     membership.seed = settings.seed;
     return membership;
@@ -47,6 +48,14 @@
     const auto it = value.is_object() ? value.find(name) : value.end();
     return it != value.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
+
+/// Hundredths of a core; one core when missing or out of range.
+std::uint16_t percentOf(const nlohmann::json &value, const char *name)
+{
+    const auto it = value.is_object() ? value.find(name) : value.end();
+    const bool isPercent = it != value.end() && it->is_number_unsigned() && it->get<std::uint64_t>() <= 65'535;
+    return isPercent ? it->get<std::uint16_t>() : std::uint16_t(100);
+}
 }
 
 GatewayPlane::GatewayPlane(GatewayPlaneSettings settings, GatewayDialect dialect, GatewayHooks hooks)
@@ -224,7 +233,8 @@
     const nlohmann::json value{{"boot", m_settings.self.boot},
                                {"failureDomain", m_settings.failureDomain},
                                {"address", m_settings.address},
-                               {"peer", m_peerAddress}};
+                               {"peer", m_peerAddress},
+                               {"cpuPercent", m_settings.cpuPercent}};
     m_hooks.writeObject(
         {{ObjectKind::Daemon, m_settings.self.name}, version, randomNonce(), value, CallPriority::Mandate, false});
 }
@@ -250,6 +260,7 @@
     entry.failureDomain = textOf(object.value, "failureDomain");
     entry.address = textOf(object.value, "address");
     entry.peerAddress = textOf(object.value, "peer");
+    entry.cpuPercent = percentOf(object.value, "cpuPercent");
     if (entry.peerAddress.empty() || entry.failureDomain.empty()) {
         logEvent(Events::DaemonEntryRefused, "{} has no peer address or failure domain", object.key.name);
         return;
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -43,6 +43,7 @@
     double retryPercent = 10;
     /// Longest hold that servers accept.
     Duration longestHold{};
+    std::uint16_t cpuPercent = 100;
 };
 
 /// The control cores of one gateway daemon, wired together. Used on the control thread only, but for isReady(),
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -19,6 +19,15 @@
 /// A daemon that was suspended, or saw another one take over, waits this long for the leader to announce itself.
 constexpr Duration GraceAfterPause = milliseconds(400);
 
+/// Daemons whose turn comes one after the other. Behind them, each waits for a random time: when a herd of daemons is
+/// lost, the others must not wait for the turn of every one of them.
+constexpr std::ptrdiff_t LongestSuccession = 6;
+constexpr std::uint64_t LateSuccessionMs = 600;
+/// At the first start of a deployment the servers are divided once they have all registered, instead of a move for
+/// each one that appears.
+constexpr Duration FirstDivisionQuiet = milliseconds(500);
+constexpr Duration FirstDivisionLatest = seconds(3);
+
 ObjectKey recordKey(const std::string &service)
 {
     return {ObjectKind::Lease, service};
@@ -30,6 +39,7 @@
 {
     m_table.service = m_settings.service;
     m_nextWriter = randomNonce() | 1;
+    m_lateSuccession = milliseconds(randomNonce() % LateSuccessionMs);
 }
 
 void LeaseController::Private::begin(Instant now)
@@ -55,6 +65,7 @@
 LeaseActions LeaseController::Private::end()
 {
     publishIfChanged();
+    sendChangesIfDue();
     return std::move(m_actions);
 }
 
@@ -90,13 +101,20 @@
     }
 }
 
+/// The order of succession: large VMs first, since a leader orders, plans and sends for the whole fleet; then by name.
 Duration LeaseController::Private::takeoverDelay() const
 {
+    const auto self = std::find_if(m_members.begin(), m_members.end(),
+                                   [&](const Member &it) { return it.identity.name == m_settings.self.name; });
+    const int cpuPercent = self == m_members.end() ? 0 : self->cpuPercent;
     const auto ahead = std::count_if(m_members.begin(), m_members.end(), [&](const Member &it) {
-        return it.status == MemberStatus::Alive && it.identity.name < m_settings.self.name
-            && it.identity.name != m_leaderName;
+        const bool isBefore = std::make_tuple(-int(it.cpuPercent), std::cref(it.identity.name))
+            < std::make_tuple(-cpuPercent, std::cref(m_settings.self.name));
+        return it.status == MemberStatus::Alive && isBefore && it.identity.name != m_leaderName;
     });
-    return m_settings.takeoverAfter + ahead * m_settings.takeoverStagger;
+    const auto steps = std::min<std::ptrdiff_t>(ahead, LongestSuccession);
+    return m_settings.takeoverAfter + steps * m_settings.takeoverStagger
+        + (ahead > steps ? m_lateSuccession : Duration());
 }
 
 void LeaseController::Private::follow()
@@ -181,6 +199,11 @@
     if (m_record) {
         record = *m_record;
     } else {
+        const bool isSettled =
+            m_now - m_serversChangedAt >= FirstDivisionQuiet || m_now - m_serversKnownAt >= FirstDivisionLatest;
+        if (!isSettled) {
+            return;
+        }
         record.service = m_settings.service;
         record.holds = evenHolds();
         if (record.holds.empty()) {
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -6,6 +6,7 @@
 #include <galenarock/leases.h>
 
 #include "slices_p.h"
+#include "tablechange_p.h"
 
 namespace Galenarock
 {
@@ -85,9 +86,12 @@
 
     // tables, messages, load
     void publishIfChanged();
+    void sendChangesIfDue();
     void announce();
     void sendTable(const std::string &vm);
+    void requestTable(const std::string &vm);
     void adoptTable(const Assignment &table);
+    void adoptChange(const PeerEvent &event, const TableChange &change);
     void onNotice(const PeerEvent &event, const LeaseNotice &notice);
     void receiveLoad(const std::string &daemon, const KeyLoad &load);
     void refreshPositions();
@@ -124,6 +128,12 @@
     std::uint32_t m_seenEpoch = 0;
     /// Latest epoch whose leader was told that this daemon has stopped ordering.
     std::uint32_t m_stoppedFor = 0;
+    Instant m_nextTableRequestAt{};
+    /// Additional silence behind the daemons whose turn comes one after the other.
+    Duration m_lateSuccession{};
+    /// Last change of the servers, and the first one.
+    Instant m_serversChangedAt{};
+    Instant m_serversKnownAt{};
 
     // leader
     /// Earlier leaders that may still order, and the latest end of what they may have granted.
@@ -134,6 +144,9 @@
     Instant m_nextPlanAt{};
     Instant m_nextAnnounceAt{};
     Instant m_nextJoinAt{};
+    /// Table that the other daemons were sent last.
+    Assignment m_sentTable;
+    Instant m_nextTableAt{};
 
     struct PositionLoad
     {
--- a/src/leases/messages.cpp
+++ b/src/leases/messages.cpp
@@ -7,6 +7,8 @@
 
 #include <galenarock/leases.h>
 
+#include "tablechange_p.h"
+
 namespace Galenarock
 {
 
@@ -72,6 +74,32 @@
     }
 };
 
+struct WireChangedSlice
+{
+    KeyHash first = 0;
+    KeyHash last = 0;
+    std::string owner;
+    std::uint64_t boot = 0;
+    std::uint64_t sequence = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(first, last, owner, boot, sequence);
+    }
+};
+
+struct WireChange
+{
+    std::string service;
+    std::uint32_t epoch = 0;
+    std::uint64_t fromVersion = 0;
+    std::uint64_t toVersion = 0;
+    std::vector<WireChangedSlice> slices;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(service, epoch, fromVersion, toVersion, slices);
+    }
+};
+
 template<typename Message> std::string encodeMessage(const Message &message)
 {
     std::ostringstream stream;
@@ -122,6 +150,25 @@
     return encodeMessage(wire);
 }
 
+std::string encode(const TableChange &change)
+{
+    WireChange wire{change.service, change.epoch, change.fromVersion, change.toVersion, {}};
+    for (const auto &it : change.slices) {
+        wire.slices.push_back({it.range.first, it.range.last, it.owner.name, it.owner.boot, it.sequence});
+    }
+    return encodeMessage(wire);
+}
+
+Result<TableChange> decodeTableChange(const std::string &payload)
+{
+    BOOST_LEAF_AUTO(wire, decodeMessage<WireChange>(payload));
+    TableChange change{wire.service, wire.epoch, wire.fromVersion, wire.toVersion, {}};
+    for (const auto &it : wire.slices) {
+        change.slices.push_back({{it.first, it.last}, {it.owner, it.boot}, it.sequence});
+    }
+    return change;
+}
+
 Result<LeaseNotice> decodeLeaseNotice(const std::string &payload)
 {
     BOOST_LEAF_AUTO(wire, decodeMessage<WireNotice>(payload));
--- a/src/leases/orders.cpp
+++ b/src/leases/orders.cpp
@@ -43,6 +43,10 @@
 
 void LeaseController::Private::setServers(std::vector<LeaseServer> servers)
 {
+    if (m_servers != servers) {
+        m_serversChangedAt = m_now;
+        m_serversKnownAt = m_servers.empty() ? m_now : m_serversKnownAt;
+    }
     m_servers = std::move(servers);
     if (m_role != LeaseRole::Leader) {
         return;
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -9,8 +9,10 @@
 
 namespace
 {
-/// Moves of one plan; the next plan sees their effect.
-constexpr std::size_t MaxMoves = 6;
+/// Moves of one plan; the next plan sees their effect. Many servers are lost, added or become hot at once in a large
+/// service, so that the number grows with theirs.
+constexpr std::size_t LeastMoves = 6;
+constexpr std::size_t ServersPerMove = 8;
 /// A server is relieved only when it is busier than this share of its capacity and this much busier than the least busy
 /// one; below, a move changes no waiting time.
 constexpr double BusyUse = 0.6;
@@ -67,6 +69,7 @@
         : m_slices(slices)
         , m_load(load)
         , m_grain(grain)
+        , m_maxMoves(std::max(LeastMoves, servers.size() / ServersPerMove))
     {
         for (const auto &it : servers) {
             if (it.leaving) {
@@ -92,12 +95,12 @@
             }
         }
         for (auto &it : m_uses) {
-            if (m_moves.size() < MaxMoves && !hasSlices(it)) {
+            if (m_moves.size() < m_maxMoves && !hasSlices(it)) {
                 giveFirst(it);
             }
         }
         const bool hasRoom = m_slices.size() < MaxRangesPerServer * m_uses.size();
-        while (hasRoom && m_moves.size() < MaxMoves && relieveBusiest()) {}
+        while (hasRoom && m_moves.size() < m_maxMoves && relieveBusiest()) {}
         return std::move(m_moves);
     }
 
@@ -369,6 +372,7 @@
     const std::vector<PlannedSlice> &m_slices;
     const LeaseLoad &m_load;
     const KeyHash m_grain;
+    const std::size_t m_maxMoves;
     std::vector<Use> m_uses;
     std::vector<LeaseMove> m_moves;
 };
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -36,15 +36,12 @@
     return shortRate * window > expected + ChanceDeviations * std::sqrt(expected + 1);
 }
 
-ServerIndex indexOf(std::vector<Identity> &servers, const Identity &identity)
-{
-    const auto it = std::find(servers.begin(), servers.end(), identity);
-    if (it != servers.end()) {
-        return static_cast<ServerIndex>(it - servers.begin());
-    }
-    servers.push_back(identity);
-    return static_cast<ServerIndex>(servers.size() - 1);
-}
+/// Length of a message on the link beyond its payload.
+constexpr double MessageOverheadBytes = 130;
+/// Longest time that a change waits for others; routes to a released key fail meanwhile.
+constexpr Duration LongestTablePause = milliseconds(100);
+/// A table that was asked for is on its way; a second one would only fill the leader's link.
+constexpr Duration TableRequestInterval = milliseconds(250);
 }
 
 void LeaseController::Private::publishIfChanged()
@@ -55,9 +52,10 @@
     Assignment table;
     table.service = m_settings.service;
     table.epoch = m_epoch;
+    std::map<Identity, ServerIndex> known;
     for (const auto &it : m_slices.all()) {
         const bool isServed = it.isGranted && !it.isReleasing;
-        const auto owner = isServed ? indexOf(table.servers, it.holder) : noServer;
+        const auto owner = isServed ? serverIndex(table, known, it.holder) : noServer;
         table.slices.push_back({it.range, owner, it.fence & 0xffffff, {}});
     }
     if (table.epoch == m_table.epoch && table.servers == m_table.servers && table.slices == m_table.slices) {
@@ -66,12 +64,29 @@
     table.nextSequence = ++m_nextSequence + 1;
     m_table = std::move(table);
     m_actions.control.emplace_back(PublishAssignmentAction{m_table});
-    sendTable({});
+}
+
+/// Sends what changed since the last sending, at a rate that leaves the link to requests: a fleet that starts changes
+/// its table with every server that appears.
+void LeaseController::Private::sendChangesIfDue()
+{
+    const bool isSent = m_sentTable.epoch == m_table.epoch && m_sentTable.nextSequence == m_table.nextSequence;
+    if (m_role != LeaseRole::Leader || m_table.epoch != m_epoch || isSent || m_now < m_nextTableAt) {
+        return;
+    }
+    const bool hasBase = m_sentTable.epoch == m_epoch;
+    auto payload = hasBase ? encode(changeBetween(m_sentTable, m_table)) : encodeLeaseTable(m_table);
+    const double bytes =
+        (static_cast<double>(payload.size()) + MessageOverheadBytes) * static_cast<double>(m_members.size());
+    const auto pause = duration_cast<Duration>(std::chrono::duration<double>(bytes / m_settings.tableBytesPerSecond));
+    m_nextTableAt = m_now + std::min(pause, LongestTablePause);
+    m_sentTable = m_table;
+    sendPeer({}, hasBase ? LeaseMessage::TableChange : LeaseMessage::Table, std::move(payload));
 }
 
 LeaseNotice LeaseController::Private::notice() const
 {
-    return {m_settings.service, m_epoch, m_table.nextSequence};
+    return {m_settings.service, m_epoch, m_sentTable.epoch == m_epoch ? m_sentTable.nextSequence : 0};
 }
 
 void LeaseController::Private::announce()
@@ -80,9 +95,21 @@
     sendPeer({}, LeaseMessage::Announce, encode(notice()));
 }
 
+/// The version that the changes sent next are based on.
 void LeaseController::Private::sendTable(const std::string &vm)
 {
-    sendPeer(vm, LeaseMessage::Table, encodeLeaseTable(m_table));
+    if (m_sentTable.epoch == m_epoch) {
+        sendPeer(vm, LeaseMessage::Table, encodeLeaseTable(m_sentTable));
+    }
+}
+
+void LeaseController::Private::requestTable(const std::string &vm)
+{
+    if (m_now < m_nextTableRequestAt) {
+        return;
+    }
+    m_nextTableRequestAt = m_now + TableRequestInterval;
+    sendPeer(vm, LeaseMessage::TableRequest, encode(LeaseNotice{m_settings.service, 0, 0}));
 }
 
 /// To one member, or with an empty name to all others that are not dead.
@@ -114,6 +141,13 @@
                 }
                 return {};
             }
+            if (event.type == LeaseMessage::TableChange) {
+                BOOST_LEAF_AUTO(change, decodeTableChange(event.payload));
+                if (change.service == m_settings.service) {
+                    adoptChange(event, change);
+                }
+                return {};
+            }
             if (event.type == LeaseMessage::Load) {
                 BOOST_LEAF_AUTO(load, decodeKeyLoad(event.payload));
                 if (load.service == m_settings.service && m_role == LeaseRole::Leader) {
@@ -170,7 +204,7 @@
         sendPeer(event.sender.name, LeaseMessage::Stopped, encode(notice));
     }
     if (std::tie(m_table.epoch, m_table.nextSequence) < std::tie(notice.epoch, notice.version)) {
-        sendPeer(event.sender.name, LeaseMessage::TableRequest, encode(LeaseNotice{m_settings.service, 0, 0}));
+        requestTable(event.sender.name);
     }
 }
 
@@ -186,6 +220,18 @@
     m_actions.control.emplace_back(PublishAssignmentAction{m_table});
 }
 
+void LeaseController::Private::adoptChange(const PeerEvent &event, const TableChange &change)
+{
+    if (change.epoch < m_seenEpoch || m_role == LeaseRole::Leader) {
+        return;
+    }
+    if (const auto table = applied(m_table, change)) {
+        adoptTable(*table);
+    } else if (std::tie(m_table.epoch, m_table.nextSequence) < std::tie(change.epoch, change.toVersion)) {
+        requestTable(event.sender.name);
+    }
+}
+
 void LeaseController::Private::addLoad(const KeyLoad &load)
 {
     if (m_role == LeaseRole::Leader) {
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -187,6 +187,70 @@
     EXPECT_EQ(world->violation, "");
 }
 
+// Pattern: a fleet of 80 small VMs starts while 140 servers register one after the other. A leader that sends its whole
+// table at each change fills its link, so that its grants arrive late and its store calls time out.
+TEST(LeasesTest, TableOfALargeServiceFitsASmallLink)
+{
+    constexpr double linkBytesPerSecond = 10e6 / 8;
+    LeaseWorld world(1, 80, 10);
+    for (int n = 0; n < 130; ++n) {
+        world.addServer();
+        world.run(milliseconds(10));
+    }
+    std::vector<std::size_t> before(world.daemons.size());
+    for (int second = 0; second < 6; ++second) {
+        for (std::size_t n = 0; n < before.size(); ++n) {
+            before[n] = world.daemons[n].sentBytes;
+        }
+        world.run(seconds(1));
+        for (std::size_t n = 0; n < before.size(); ++n) {
+            // The table of a new leader goes to all once.
+            EXPECT_LT(static_cast<double>(world.daemons[n].sentBytes - before[n]), linkBytesPerSecond)
+                << "daemon " << n;
+        }
+    }
+    EXPECT_EQ(world.servedPositions(), all(world));
+    EXPECT_EQ(world.leaderCount(), 1U);
+    for (const auto &it : world.daemons) {
+        EXPECT_EQ(it.controller->table().nextSequence, world.table().nextSequence) << it.identity.name;
+    }
+    EXPECT_EQ(world.violation, "");
+}
+
+// A leader's orders and tables would be late on a VM with a small share of a core.
+TEST(LeasesTest, LargestVmLeads)
+{
+    LeaseWorld world(1, 12, 5);
+    world.daemons[9].cpuPercent = 500;
+    world.killDaemon(11);
+    world.startDaemon(11);
+    world.run(seconds(4));
+    EXPECT_EQ(world.leader(), 9U);
+    EXPECT_EQ(world.servedPositions(), all(world));
+}
+
+// Pattern: half of the fleet is killed at once and still counts as alive. The others must not wait for each one's turn.
+TEST(LeasesTest, LostHerdDoesNotDelayTheSuccessor)
+{
+    LeaseWorld world(1, 60, 5);
+    world.run(seconds(4));
+    for (std::size_t n = 0; n < 30; ++n) {
+        world.daemons[n].isFrozen = true;
+    }
+    for (std::size_t n = 30; n < 60; ++n) {
+        world.daemons[n].reachesPeers = true;
+    }
+    world.run(ServedAgain);
+    std::size_t held = 0;
+    for (const auto position : world.positions()) {
+        for (const auto &it : world.servers) {
+            held += it.server.holds(world.now, position) ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(held, all(world));
+    EXPECT_EQ(world.violation, "");
+}
+
 // Random faults, alone and together; a violation names the seed by the test's parameter.
 class LeasesChaosTest : public testing::TestWithParam<int>
 {
--- a/src/leases/tests/leaseworld.cpp
+++ b/src/leases/tests/leaseworld.cpp
@@ -186,7 +186,7 @@
     MembersEvent event;
     for (const auto &it : daemons) {
         const auto status = it.controller ? MemberStatus::Alive : MemberStatus::Dead;
-        event.members.push_back({it.identity, "a", "", "", status, true});
+        event.members.push_back({it.identity, "a", "", "", status, true, it.cpuPercent});
     }
     for (std::size_t n = 0; n < daemons.size(); ++n) {
         deliver(n, event);
@@ -343,6 +343,7 @@
 
 void LeaseWorld::sendPeer(std::size_t index, const SendPeerAction &action)
 {
+    daemons[index].sentBytes += action.payload.size();
     if (!daemons[index].reachesPeers || uniform() < lostPeerMessages) {
         return;
     }
--- a/src/leases/tests/leaseworld_p.h
+++ b/src/leases/tests/leaseworld_p.h
@@ -77,6 +77,9 @@
         bool isFrozen = false;
         bool reachesStore = true;
         bool reachesPeers = true;
+        std::uint16_t cpuPercent = 100;
+        /// Payloads sent to other daemons.
+        std::size_t sentBytes = 0;
     };
     struct ServerState
     {
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -40,13 +40,17 @@
 
 MemberUpdate MemberState::update(bool isBrief) const
 {
-    MemberUpdate result{member.identity, incarnation, member.status, {}, {}, {}};
+    MemberUpdate result;
+    result.identity = member.identity;
+    result.incarnation = incarnation;
+    result.status = member.status;
     if (isBrief) {
         return result;
     }
     result.failureDomain = member.failureDomain;
     result.address = member.address;
     result.peerAddress = member.peerAddress;
+    result.cpuPercent = member.cpuPercent;
     return result;
 }
 
--- a/src/membership/messages_p.h
+++ b/src/membership/messages_p.h
@@ -38,6 +38,8 @@
     std::string failureDomain;
     std::string address;
     std::string peerAddress;
+    /// Member::cpuPercent; not meaningful in a brief update.
+    std::uint16_t cpuPercent = 100;
 
     template<typename Archive> void serialize(Archive &archive)
     {
@@ -46,10 +48,11 @@
         Wire::text<std::uint8_t>(archive, failureDomain, maxMemberTextBytes);
         Wire::text<std::uint8_t>(archive, address, maxMemberTextBytes);
         Wire::text<std::uint8_t>(archive, peerAddress, maxMemberTextBytes);
+        archive(cpuPercent);
     }
     std::size_t size() const
     {
-        return 4 + 8 + 8 + 1 + identity.name.size() + failureDomain.size() + address.size() + peerAddress.size();
+        return 4 + 8 + 8 + 1 + 2 + identity.name.size() + failureDomain.size() + address.size() + peerAddress.size();
     }
     bool isBrief() const
     {
--- a/src/membership/news.cpp
+++ b/src/membership/news.cpp
@@ -212,6 +212,8 @@
         state.member.failureDomain = update.failureDomain;
         state.member.address = update.address;
         state.member.peerAddress = update.peerAddress;
+        m_isPublishDue = m_isPublishDue || state.member.cpuPercent != update.cpuPercent;
+        state.member.cpuPercent = update.cpuPercent;
     }
     if (!supersedes(update, state)) {
         return;
@@ -290,6 +292,7 @@
         state->member.failureDomain = vm.failureDomain;
         state->member.address = vm.address;
         state->member.peerAddress = vm.peerAddress;
+        state->member.cpuPercent = vm.cpuPercent;
     }
     const bool isLeaving = vm.state == VmState::Leaving;
     m_isPublishDue = m_isPublishDue || state->isListedLeaving != isLeaving;
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -401,11 +401,21 @@
         load.service = name;
         load.seconds = std::chrono::duration<double>(KeyLoadInterval).count();
         const auto &servers = it->route->servers();
+        if (it->reportedSeconds.size() > 2 * servers.size()) {
+            it->reportedSeconds.clear();
+        }
         for (std::size_t n = 0; n < servers.size(); ++n) {
-            const auto view = it->observations.view(m_now, static_cast<ServerIndex>(n));
-            load.servers.push_back({servers[n].identity, view.serviceSeconds});
+            const auto seconds = it->observations.view(m_now, static_cast<ServerIndex>(n)).serviceSeconds;
+            auto &reported = it->reportedSeconds[servers[n].identity];
+            if (seconds == reported) {
+                continue; // no answer since; with many servers a daemon uses few of them in one interval
+            }
+            reported = seconds;
+            load.servers.push_back({servers[n].identity, seconds});
+        }
+        if (!load.positions.empty() || !load.servers.empty()) {
+            m_shared.keyLoads().add(load);
         }
-        m_shared.keyLoads().add(load);
     }
 }
 
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -56,6 +57,8 @@
     RetryBudget budget;
     LoadCounter load;
     KeyLoadCounter keyLoad;
+    /// Service times that the leader was told, by server.
+    std::map<Identity, double> reportedSeconds;
     /// Positions whose key had no owner, and since when.
     std::unordered_map<KeyHash, Instant> unownedSince;
     /// Requests in the admission queue by ticket.
