Hold back requests of full owners, keep keys that no server can serve, keep the lead with the living leader

A single key with 450 requests/s (its owner answers 25) was moved from server to server every second, blocked the relief of others, and its owner reset 1,900-5,900 connections over its limit. Ruled out: 200 neighbouring keys (all refusals at one position); the renewals of the leader. Change: a daemon refuses at once what a full owner refused lately (ShedThrottle); planning leaves such a key where it is, moves what a target has room for and several parts of a range; the table is made only when a slice changed; late successors watch the record before they take the lead; announcements reach members taken for dead; replaced leaders are known at once, but only those whose process was seen before (that check was missing).

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -25,6 +25,7 @@
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
 #include <galenarock/settings.h>
+#include <galenarock/shedthrottle.h>
 #include <galenarock/storeclient.h>
 #include <galenarock/suspects.h>
 #include <galenarock/thread.h>
--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -130,10 +130,12 @@
     std::string service;
     std::uint32_t epoch = 0;
     std::uint64_t version = 0;
+    /// Announce: no leader before the sender orders any more. The record says so only after its next write.
+    bool isSole = false;
 
     friend bool operator==(const LeaseNotice &a, const LeaseNotice &b)
     {
-        return a.service == b.service && a.epoch == b.epoch && a.version == b.version;
+        return a.service == b.service && a.epoch == b.epoch && a.version == b.version && a.isSole == b.isSole;
     }
 };
 
@@ -188,6 +190,8 @@
     Identity holder;
     /// In the middle of a move or with an order that was not answered yet.
     bool isBusy = false;
+    /// Its holder changed a short while ago; the load that the move caused is not measured yet.
+    bool isRecent = false;
 };
 
 /// A move of a range to another server; splits the slice that contains it.
--- a/include/galenarock/serverchoice.h
+++ b/include/galenarock/serverchoice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <galenarock/routing.h>
+#include <galenarock/shedthrottle.h>
 
 /// What one daemon observes about the backend servers of a service, and the policies that choose among them.
 ///
@@ -144,6 +145,10 @@
     std::uint32_t inFlight(ServerIndex server) const;
     /// View of one server; valid until the next call of any method.
     ServerView view(Instant now, ServerIndex server) const;
+    /// Share of a full server's requests that should be refused instead of sent; 0 for an unknown index.
+    double refusedShare(Instant now, ServerIndex server) const;
+    /// A request for the server was refused for this reason.
+    void heldBack(Instant now, ServerIndex server);
     /// Failure domain of this daemon; its servers are preferred.
     void setLocalDomain(std::string domain)
     {
@@ -194,11 +199,13 @@
         Instant slowStartAt{};
         double adaptiveLimit = 1;
         double floorLatency = 0;
+        ShedThrottle throttle;
     };
     std::uint32_t entryFor(Instant now, const Identity &identity);
     void answered(Instant now, Entry &entry, Duration latency);
     void adaptLimit(Entry &entry, double latency);
     void punish(Instant now, Entry &entry, double requests);
+    static void countTaken(Instant now, Entry &entry, const AttemptObservation &observation);
     void hold(Instant now, Entry &entry);
     double decayedPenalty(Instant now, const Entry &entry) const;
     double estimatedBusy(Instant now, const Entry &entry) const;
--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -126,6 +126,8 @@
     Duration watchTimeout = seconds(20);
     /// A watch that has returned is continued after this time, so that changes that come together are one call.
     Duration watchPause{};
+    /// The pause grows with the number of daemons up to this, since a change is a call of every daemon.
+    Duration longestWatchPause = milliseconds(400);
     /// A watched kind is listed again this often, in case a change was missed.
     Duration relistInterval = seconds(60);
     Duration vmListInterval = seconds(1);
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -23,6 +23,8 @@
 /// lost, the others must not wait for the turn of every one of them.
 constexpr std::ptrdiff_t LongestSuccession = 6;
 constexpr std::uint64_t LateSuccessionMs = 600;
+/// A leader that lives renews its record within this time, unless the store is away.
+constexpr Duration SilentRecord = milliseconds(1'700);
 /// At the first start of a deployment the servers are divided once they have all registered, instead of a move for
 /// each one that appears.
 constexpr Duration FirstDivisionQuiet = milliseconds(500);
@@ -94,6 +96,7 @@
 
 void LeaseController::Private::onTick()
 {
+    m_isTableStale = true;
     if (m_role == LeaseRole::Leader) {
         lead();
     } else if (!m_isStopping) {
@@ -101,28 +104,50 @@
     }
 }
 
-/// The order of succession: large VMs first, since a leader orders, plans and sends for the whole fleet; then by name.
-Duration LeaseController::Private::takeoverDelay() const
+/// Daemons that come earlier in the order of succession: large VMs first, since a leader orders, plans and sends for
+/// the whole fleet; then by name.
+std::ptrdiff_t LeaseController::Private::successorsAhead() const
 {
     const auto self = std::find_if(m_members.begin(), m_members.end(),
                                    [&](const Member &it) { return it.identity.name == m_settings.self.name; });
     const int cpuPercent = self == m_members.end() ? 0 : self->cpuPercent;
-    const auto ahead = std::count_if(m_members.begin(), m_members.end(), [&](const Member &it) {
+    return std::count_if(m_members.begin(), m_members.end(), [&](const Member &it) {
         const bool isBefore = std::make_tuple(-int(it.cpuPercent), std::cref(it.identity.name))
             < std::make_tuple(-cpuPercent, std::cref(m_settings.self.name));
         return it.status == MemberStatus::Alive && isBefore && it.identity.name != m_leaderName;
     });
-    const auto steps = std::min<std::ptrdiff_t>(ahead, LongestSuccession);
+}
+
+Duration LeaseController::Private::takeoverDelay() const
+{
+    const auto ahead = successorsAhead();
+    const auto steps = std::min(ahead, LongestSuccession);
     return m_settings.takeoverAfter + steps * m_settings.takeoverStagger
         + (ahead > steps ? m_lateSuccession : Duration());
 }
 
+/// Of many small VMs some are always slow to read their messages. One that missed the leader must not take its lead.
+bool LeaseController::Private::isLateSuccessor() const
+{
+    return successorsAhead() > LongestSuccession;
+}
+
+void LeaseController::Private::noteSilentRecord()
+{
+    if (m_silentVersion != m_recordVersion) {
+        m_silentVersion = m_recordVersion;
+        m_silentSince = m_now;
+    }
+}
+
 void LeaseController::Private::follow()
 {
     if (m_servers.empty() || m_role == LeaseRole::Candidate) {
         return;
     }
-    if (m_now - m_leaderHeardAt >= takeoverDelay()) {
+    const bool isWatching = isLateSuccessor() && m_now - m_leaderHeardAt >= m_settings.takeoverAfter
+        && m_now - m_silentSince >= SilentRecord;
+    if (isWatching || m_now - m_leaderHeardAt >= takeoverDelay()) {
         readRecord();
     }
 }
@@ -191,7 +216,9 @@
 
 void LeaseController::Private::tryTakeOver()
 {
-    const bool isDue = m_now - m_leaderHeardAt >= takeoverDelay();
+    noteSilentRecord();
+    const bool isRecordSilent = !m_record || !isLateSuccessor() || m_now - m_silentSince >= SilentRecord;
+    const bool isDue = m_now - m_leaderHeardAt >= takeoverDelay() && isRecordSilent;
     if (!isDue || m_isStopping || m_role != LeaseRole::Follower || m_servers.empty() || m_openWrite != 0) {
         return;
     }
@@ -211,6 +238,9 @@
         }
     }
     ++record.epoch;
+    if (m_soleEpoch + 1 == record.epoch) {
+        record.former.clear(); // its leader knew that they had stopped
+    }
     if (!record.leader.name.empty()) {
         record.former.push_back(record.leader);
     }
@@ -306,6 +336,7 @@
 void LeaseController::Private::becomeLeader()
 {
     m_role = LeaseRole::Leader;
+    m_isTableStale = true;
     m_epoch = m_record->epoch;
     m_leaderName = m_settings.self.name;
     m_nextSequence = 1;
@@ -330,6 +361,7 @@
     if (m_former.empty()) {
         limitToOneTerm();
     }
+    dropReplacedLeaders();
     m_nextPlanAt = m_now;
     m_nextAnnounceAt = m_now;
     m_positions.clear();
@@ -442,11 +474,20 @@
 void LeaseController::Private::onMembers(const MembersEvent &event)
 {
     m_members = event.members;
+    for (const auto &it : m_members) {
+        m_knownProcesses.insert(it.identity);
+    }
+    dropReplacedLeaders();
+}
+
+/// An earlier leader whose VM runs a later process has stopped ordering. A process that was never seen may be the later
+/// one: then this daemon's member table is behind.
+void LeaseController::Private::dropReplacedLeaders()
+{
     stoppedOrdering([&](const Identity &former) {
         return std::any_of(m_members.begin(), m_members.end(), [&](const Member &it) {
-            // A process of this VM that is not `former` has taken its place.
-            return it.identity.name == former.name && it.identity.boot != former.boot && it.identity.boot != 0
-                && it.status == MemberStatus::Alive;
+            return m_knownProcesses.count(former) > 0 && it.identity.name == former.name
+                && it.identity.boot != former.boot && it.identity.boot != 0 && it.status == MemberStatus::Alive;
         });
     });
 }
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -55,6 +55,9 @@
     // leadership and record
     void follow();
     Duration takeoverDelay() const;
+    std::ptrdiff_t successorsAhead() const;
+    bool isLateSuccessor() const;
+    void noteSilentRecord();
     void tryTakeOver();
     void readRecord();
     void adopt(const StoredObject &object);
@@ -68,6 +71,7 @@
     bool isRecorded(const SliceRange &range, const Identity &server) const;
     std::vector<RecordedHold> evenHolds() const;
     void limitToOneTerm();
+    void dropReplacedLeaders();
     void stoppedOrdering(const std::function<bool(const Identity &)> &hasStopped);
 
     // orders
@@ -105,6 +109,8 @@
     LeaseActions m_actions;
     std::vector<LeaseServer> m_servers;
     std::vector<Member> m_members;
+    /// Every process that was ever in the member table.
+    std::set<Identity> m_knownProcesses;
 
     // record as the store is known to hold it
     std::optional<LeaseRecord> m_record;
@@ -129,6 +135,11 @@
     /// Latest epoch whose leader was told that this daemon has stopped ordering.
     std::uint32_t m_stoppedFor = 0;
     Instant m_nextTableRequestAt{};
+    /// Latest epoch whose leader said that no earlier leader orders any more.
+    std::uint32_t m_soleEpoch = 0;
+    /// Version of the record during the leader's silence, and since when it is that version.
+    std::uint64_t m_silentVersion = 0;
+    Instant m_silentSince{};
     /// Additional silence behind the daemons whose turn comes one after the other.
     Duration m_lateSuccession{};
     /// Last change of the servers, and the first one.
@@ -147,6 +158,8 @@
     /// Table that the other daemons were sent last.
     Assignment m_sentTable;
     Instant m_nextTableAt{};
+    /// A slice changed since m_table was made. Most steps of a leader are renewals and reports that change none.
+    bool m_isTableStale = true;
 
     struct PositionLoad
     {
--- a/src/leases/messages.cpp
+++ b/src/leases/messages.cpp
@@ -20,9 +20,10 @@
     std::string service;
     std::uint32_t epoch = 0;
     std::uint64_t version = 0;
+    bool isSole = false;
     template<typename Archive> void serialize(Archive &archive)
     {
-        archive(service, epoch, version);
+        archive(service, epoch, version, isSole);
     }
 };
 
@@ -126,7 +127,7 @@
 
 std::string encode(const LeaseNotice &notice)
 {
-    return encodeMessage(WireNotice{notice.service, notice.epoch, notice.version});
+    return encodeMessage(WireNotice{notice.service, notice.epoch, notice.version, notice.isSole});
 }
 
 std::string encode(const KeyLoad &load)
@@ -172,7 +173,7 @@
 Result<LeaseNotice> decodeLeaseNotice(const std::string &payload)
 {
     BOOST_LEAF_AUTO(wire, decodeMessage<WireNotice>(payload));
-    return LeaseNotice{wire.service, wire.epoch, wire.version};
+    return LeaseNotice{wire.service, wire.epoch, wire.version, wire.isSole};
 }
 
 Result<KeyLoad> decodeKeyLoad(const std::string &payload)
--- a/src/leases/orders.cpp
+++ b/src/leases/orders.cpp
@@ -23,6 +23,8 @@
 constexpr Duration SilenceMemory = seconds(6);
 /// Doubled each time that it is silent again, since every trial costs its keys a term.
 constexpr Duration LongestSilenceMemory = seconds(60);
+/// About the time in which the measured load follows a move.
+constexpr Duration RecentMove = seconds(2);
 constexpr Duration JoinInterval = seconds(1);
 constexpr Duration QuietBeforeJoin = seconds(4);
 constexpr std::size_t RangesPerServer = 3;
@@ -58,6 +60,7 @@
         if (!hasRestarted) {
             continue;
         }
+        m_isTableStale = true;
         // The earlier process is gone and with it all that it held.
         decide(LeaseEvents::HolderSilent, slice.range, fmt::format("{} has restarted", toString(slice.holder)));
         slice.openOrder = 0;
@@ -89,7 +92,7 @@
             it.holder = {}; // chosen as next, but never ordered
         }
         const bool mayMove = it.openOrder == 0 && !it.isBusy() && (!isWaiting || it.holder.name.empty());
-        slices.push_back({it.range, it.holder, !mayMove});
+        slices.push_back({it.range, it.holder, !mayMove, m_now - it.changedAt < RecentMove});
     }
     for (const auto &it : planLeaseMoves(slices, usable, currentLoad(), m_settings.grain)) {
         auto *slice = m_slices.isolate(it.range);
@@ -165,6 +168,7 @@
 {
     const auto *holder = server(slice.holder);
     slice.isReleasing = true;
+    m_isTableStale = true;
     if (!holder) {
         finishRelease(slice, false);
         return;
@@ -197,6 +201,7 @@
     if (!slice.holder.name.empty() && until > m_now) {
         m_slices.addPossible({slice.range, slice.holder, until});
     }
+    m_isTableStale = true;
     decide(LeaseEvents::Released, slice.range,
            fmt::format("{} {}, next {}", slice.holder.name, isAnswered ? "released" : "is silent", slice.target->name));
     slice.holder = *slice.target;
@@ -232,7 +237,9 @@
     } else {
         onReleaseReply(*slice, event);
     }
-    lead();
+    if (m_isTableStale) {
+        lead(); // the next order of a move does not wait for the tick
+    }
 }
 
 void LeaseController::Private::onGrantReply(LeaseSlice &slice, const LeaseReplyEvent &event)
@@ -240,6 +247,7 @@
     switch (event.answer) {
     case LeaseAnswer::Accepted:
         if (!slice.isGranted) {
+            m_isTableStale = true;
             decide(LeaseEvents::Granted, slice.range, fmt::format("{} under {}", slice.holder.name, event.call.fence));
         }
         slice.isGranted = true;
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -12,15 +12,24 @@
 /// Moves of one plan; the next plan sees their effect. Many servers are lost, added or become hot at once in a large
 /// service, so that the number grows with theirs.
 constexpr std::size_t LeastMoves = 6;
-constexpr std::size_t ServersPerMove = 8;
+constexpr std::size_t ServersPerMove = 4;
 /// A server is relieved only when it is busier than this share of its capacity and this much busier than the least busy
 /// one; below, a move changes no waiting time.
 constexpr double BusyUse = 0.6;
 constexpr double UseGap = 0.25;
 /// Part of the difference that one plan moves; the load is measured with a delay, and a whole step would overshoot.
 constexpr double Step = 0.8;
+/// Use up to which a server takes over load; with the mean use of a service that is half idle as the bound, a very hot
+/// range would be cut into more parts than one plan moves.
+constexpr double TakeOverUse = 0.85;
+/// Least part of a server's capacity that moves at once: where all servers are busy, the room of each is tiny.
+constexpr double LeastMoveShare = 0.1;
+/// A move may exceed the wanted load by this factor, since a range ends at a key.
+constexpr double WantedTolerance = 1.5;
 /// A hot key moves when the busier server is left with less than this part of the alternative's share.
 constexpr double ClearlyBetter = 0.85;
+/// A key that no server can serve alone moves only to a server that is faster by more than this.
+constexpr double SaturatedGain = 0.7;
 /// Service time of a server that nobody has measured, in seconds, when no other server was measured either.
 constexpr double UnknownServiceSeconds = 0.1;
 /// Parts into which the keys of a leaving or lost server are divided.
@@ -46,6 +55,8 @@
     /// Requests a second that it can serve.
     double capacity = 1;
     double load = 0;
+    /// No move relieves it, for example of a single key that no server can serve.
+    bool isStuck = false;
 
     double share() const
     {
@@ -64,9 +75,9 @@
 class Plan
 {
 public:
-    Plan(const std::vector<PlannedSlice> &slices, const std::vector<LeaseServer> &servers, const LeaseLoad &load,
+    Plan(std::vector<PlannedSlice> slices, const std::vector<LeaseServer> &servers, const LeaseLoad &load,
          KeyHash grain)
-        : m_slices(slices)
+        : m_slices(std::move(slices))
         , m_load(load)
         , m_grain(grain)
         , m_maxMoves(std::max(LeastMoves, servers.size() / ServersPerMove))
@@ -89,11 +100,13 @@
         if (m_uses.empty()) {
             return {};
         }
-        for (auto &it : m_slices) {
+        const auto slices = m_slices;
+        for (const auto &it : slices) {
             if (!it.isBusy && !useOf(it.holder)) {
                 findHomes(it);
             }
         }
+        sumUp();
         for (auto &it : m_uses) {
             if (m_moves.size() < m_maxMoves && !hasSlices(it)) {
                 giveFirst(it);
@@ -101,6 +114,7 @@
         }
         const bool hasRoom = m_slices.size() < MaxRangesPerServer * m_uses.size();
         while (hasRoom && m_moves.size() < m_maxMoves && relieveBusiest()) {}
+
         return std::move(m_moves);
     }
 
@@ -146,14 +160,56 @@
 
     Use &mostBusy()
     {
-        return *std::max_element(m_uses.begin(), m_uses.end(),
-                                 [](const Use &a, const Use &b) { return a.share() < b.share(); });
+        return *std::max_element(m_uses.begin(), m_uses.end(), [](const Use &a, const Use &b) {
+            return std::make_tuple(!a.isStuck, a.share()) < std::make_tuple(!b.isStuck, b.share());
+        });
     }
 
     void move(const SliceRange &range, double load, Use &target)
     {
         target.load += load;
         m_moves.push_back({range, target.server->identity});
+        cut(range);
+    }
+
+    /// Takes `range` out of the slice that contains it, so that the rest of the slice may move as well.
+    void cut(const SliceRange &range)
+    {
+        const auto it = std::find_if(m_slices.begin(), m_slices.end(), [&](const PlannedSlice &slice) {
+            return slice.range.contains(range.first) && slice.range.contains(range.last);
+        });
+        if (it == m_slices.end()) {
+            return;
+        }
+        const auto whole = *it;
+        it->range = range;
+        it->isBusy = true;
+        if (whole.range.first < range.first) {
+            m_slices.push_back({{whole.range.first, range.first - 1}, whole.holder, whole.isBusy, whole.isRecent});
+        }
+        if (range.last < whole.range.last) {
+            m_slices.push_back({{range.last + 1, whole.range.last}, whole.holder, whole.isBusy, whole.isRecent});
+        }
+    }
+
+    /// Use of the service as a whole.
+    void sumUp()
+    {
+        double load = 0;
+        double capacity = 0;
+        for (const auto &it : m_uses) {
+            load += it.load;
+            capacity += it.capacity;
+        }
+        m_meanShare = load / capacity;
+    }
+
+    /// Load that a server should take over: what it has room for. Half of a difference would make the server that
+    /// relieves a very hot one as overloaded as that, and spread the load by halves, one plan after the other.
+    double wantedLoad(const Use &target, double even) const
+    {
+        const double room = std::max(m_meanShare, TakeOverUse) * target.capacity - target.load;
+        return std::min(Step * even, std::max(room, LeastMoveShare * target.capacity));
     }
 
     bool hasSlices(const Use &use) const
@@ -274,28 +330,25 @@
         return best;
     }
 
-    bool isMoved(const SliceRange &range) const
-    {
-        return std::any_of(m_moves.begin(), m_moves.end(),
-                           [&](const LeaseMove &it) { return it.range.overlaps(range); });
-    }
-
     bool relieveBusiest()
     {
         auto &busiest = mostBusy();
         auto &target = leastBusy();
-        if (busiest.share() < BusyUse || busiest.share() - target.share() < UseGap) {
+        if (busiest.isStuck || busiest.share() < BusyUse || busiest.share() - target.share() < UseGap) {
             return false;
         }
         const double even =
             (busiest.load * target.capacity - target.load * busiest.capacity) / (busiest.capacity + target.capacity);
-        const auto window = cheapestPart(busiest.server->identity, Step * even, even * 1.1);
+        const double wanted = wantedLoad(target, even);
+        const double limit = std::min(even * 1.1, wanted * WantedTolerance);
+        const auto window = cheapestPart(busiest.server->identity, wanted, limit);
         const double result = window ? shareAfter(busiest, target, window->load) : busiest.share();
         if (moveHottest(busiest, result)) {
             return true;
         }
         if (!window) {
-            return false;
+            busiest.isStuck = true; // the next busy server may still be relieved
+            return true;
         }
         busiest.load -= window->load;
         move(window->range, window->load, target);
@@ -308,6 +361,13 @@
         return std::max((source.load - load) / source.capacity, (target.load + load) / target.capacity);
     }
 
+    /// No server can serve the key alone: it stays, unless another server answers clearly more of its requests. Each
+    /// move interrupts the key, and by itself the load looks lower wherever the key is not.
+    static bool isWorthIt(const Use &source, const Use &target, double load)
+    {
+        return load < target.capacity || source.capacity < target.capacity * SaturatedGain;
+    }
+
     /// A single hot key cannot be divided: it goes to the server where it fits best, when that is clearly better than
     /// `otherResult`, the share that moving other keys would leave.
     bool moveHottest(Use &source, double otherResult)
@@ -315,7 +375,7 @@
         const PlannedSlice *slice = nullptr;
         auto hottest = m_load.positions.end();
         for (const auto &it : m_slices) {
-            if (it.isBusy || it.holder != source.server->identity || isMoved(it.range)) {
+            if (it.isBusy || it.isRecent || it.holder != source.server->identity) {
                 continue;
             }
             const auto end = m_load.positions.upper_bound(it.range.last);
@@ -333,7 +393,7 @@
         double bestResult = otherResult * ClearlyBetter;
         for (auto &it : m_uses) {
             const double result = shareAfter(source, it, hottest->second);
-            if (&it != &source && result < bestResult) {
+            if (&it != &source && result < bestResult && isWorthIt(source, it, hottest->second)) {
                 best = &it;
                 bestResult = result;
             }
@@ -354,7 +414,7 @@
         for (const double part : {1.0, 0.5, 0.25}) {
             std::optional<Window> best;
             for (const auto &it : m_slices) {
-                if (it.isBusy || it.holder != holder || isMoved(it.range)) {
+                if (it.isBusy || it.holder != holder) {
                     continue;
                 }
                 const auto window = partOf(it.range, part * wanted, limit);
@@ -369,12 +429,14 @@
         return {};
     }
 
-    const std::vector<PlannedSlice> &m_slices;
+    /// Slices as they will be after the moves planned so far.
+    std::vector<PlannedSlice> m_slices;
     const LeaseLoad &m_load;
     const KeyHash m_grain;
     const std::size_t m_maxMoves;
     std::vector<Use> m_uses;
     std::vector<LeaseMove> m_moves;
+    double m_meanShare = 0;
 };
 }
 
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -46,9 +46,10 @@
 
 void LeaseController::Private::publishIfChanged()
 {
-    if (m_role != LeaseRole::Leader || m_slices.all().empty()) {
+    if (m_role != LeaseRole::Leader || m_slices.all().empty() || !m_isTableStale) {
         return;
     }
+    m_isTableStale = false;
     Assignment table;
     table.service = m_settings.service;
     table.epoch = m_epoch;
@@ -86,7 +87,8 @@
 
 LeaseNotice LeaseController::Private::notice() const
 {
-    return {m_settings.service, m_epoch, m_sentTable.epoch == m_epoch ? m_sentTable.nextSequence : 0};
+    return {m_settings.service, m_epoch, m_sentTable.epoch == m_epoch ? m_sentTable.nextSequence : 0,
+            m_role == LeaseRole::Leader && m_former.empty()};
 }
 
 void LeaseController::Private::announce()
@@ -109,10 +111,11 @@
         return;
     }
     m_nextTableRequestAt = m_now + TableRequestInterval;
-    sendPeer(vm, LeaseMessage::TableRequest, encode(LeaseNotice{m_settings.service, 0, 0}));
+    sendPeer(vm, LeaseMessage::TableRequest, encode(LeaseNotice{m_settings.service, 0, 0, false}));
 }
 
-/// To one member, or with an empty name to all others that are not dead.
+/// To one member, or with an empty name to all others that are not dead. Announcements go to those as well: a daemon
+/// that is wrongly taken for dead would otherwise miss the leader and take its lead.
 void LeaseController::Private::sendPeer(const std::string &vm, std::uint16_t type, std::string payload)
 {
     if (!vm.empty()) {
@@ -120,7 +123,8 @@
         return;
     }
     for (const auto &it : m_members) {
-        if (it.identity.name != m_settings.self.name && it.status != MemberStatus::Dead) {
+        if (it.identity.name != m_settings.self.name
+            && (it.status != MemberStatus::Dead || type == LeaseMessage::Announce)) {
             m_actions.control.emplace_back(SendPeerAction{it.identity.name, type, payload});
         }
     }
@@ -198,6 +202,7 @@
     m_seenEpoch = notice.epoch;
     m_leaderHeardAt = m_now;
     m_leaderName = event.sender.name;
+    m_soleEpoch = notice.isSole ? notice.epoch : m_soleEpoch;
     if (m_epoch > 0 && m_stoppedFor < notice.epoch) {
         // This daemon led once; its successors need to know that it has stopped ordering.
         m_stoppedFor = notice.epoch;
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -229,6 +229,80 @@
     EXPECT_EQ(world.servedPositions(), all(world));
 }
 
+// Pattern: one small VM of a large fleet hears nothing from its leader. Each change of leader makes every daemon fetch
+// the table and stops all moves for a while.
+TEST(LeasesTest, SmallVmThatMissesTheLeaderDoesNotTakeItsLead)
+{
+    LeaseWorld world(1, 20, 5);
+    world.run(seconds(4));
+    const auto before = world.leader();
+    world.daemons[18].reachesPeers = false;
+    world.run(seconds(10));
+    EXPECT_EQ(world.leader(), before);
+    EXPECT_EQ(world.leaderCount(), 1U);
+}
+
+// Pattern: a leader is lost, its successor learns that it has stopped, and the store goes away before the record says
+// so. A third leader must not wait for what the first one could have granted.
+TEST(LeasesTest, EarlierLeaderThatStoppedIsNotWaitedForAfterAnOutage)
+{
+    const auto world = calmWorld(1, 6);
+    const auto first = *world->leader();
+    world->killDaemon(first);
+    world->run(seconds(18));
+    const auto second = *world->leader();
+    world->isStoreUp = false;
+    world->run(seconds(1));
+    world->killDaemon(second);
+    world->crashServer(3, false);
+    world->run(seconds(5));
+    world->isStoreUp = true;
+    world->startDaemon(second);
+    world->run(seconds(2) + ServedAgain);
+    EXPECT_EQ(world->servedPositions(), all(*world));
+    EXPECT_EQ(world->violation, "");
+}
+
+// A member table that is behind shows an earlier process of the former leader's VM. Taking the present one for stopped
+// would give its keys away while it may still grant them.
+TEST(LeasesTest, FormerLeaderWithAnUnknownProcessMayStillOrder)
+{
+    LeaseSettings settings;
+    settings.self = {"vm-b", 20};
+    settings.service = "shop";
+    LeaseController controller(settings);
+    Instant now(seconds(1'000));
+    const auto member = [](const Identity &identity) {
+        return Member{identity, "a", "", "", MemberStatus::Alive, true};
+    };
+    controller.step(now, MembersEvent{{member({"vm-a", 1}), member(settings.self)}});
+    controller.setServers(now, {{{"s-0", 1}, "10.0.0.1:80", "a", 4, false}});
+    const Identity former{"vm-a", 2};
+    LeaseRecord record{"shop", 3, former, {}, {{{}, {"s-0", 1}, {}}}};
+    StoredObject stored{{ObjectKind::Lease, "shop"}, 7, 99, toJson(record)};
+    int writes = 0;
+    for (int n = 0; n < 100; ++n) {
+        now += milliseconds(50);
+        std::vector<ControlEvent> events{TickEvent()};
+        while (!events.empty()) {
+            const auto actions = controller.step(now, events.back());
+            events.pop_back();
+            for (const auto &it : actions.control) {
+                if (std::holds_alternative<ReadObjectAction>(it)) {
+                    events.emplace_back(ObjectEvent{stored, true});
+                } else if (const auto *write = std::get_if<WriteObjectAction>(&it)) {
+                    ++writes;
+                    stored = {write->key, stored.version + 1, write->writer, write->value};
+                    events.emplace_back(WriteResultEvent{write->key, write->writer, now, WriteStatus::Applied, stored});
+                    EXPECT_EQ(write->value["former"].size(), 1U) << write->value.dump();
+                }
+            }
+        }
+    }
+    EXPECT_TRUE(controller.isLeader());
+    EXPECT_GE(writes, 2);
+}
+
 // Pattern: half of the fleet is killed at once and still counts as alive. The others must not wait for each one's turn.
 TEST(LeasesTest, LostHerdDoesNotDelayTheSuccessor)
 {
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -19,6 +19,8 @@
 
 namespace
 {
+/// Daemons up to which watches continue after the shortest pause.
+constexpr double FleetOfShortestPause = 20;
 /// Requests of one priority that may wait for budget.
 constexpr std::size_t queueBound = 512;
 /// Wait between two looks at the budget while requests are queued.
@@ -94,6 +96,7 @@
     void finish(HttpCall &call);
     void cancel(HttpCall &call);
     bool hasQueued() const;
+    Duration watchPause() const;
 
     void onRead(const HttpCall &call);
     void onWrite(const HttpCall &call);
@@ -429,6 +432,13 @@
     m_handler(std::move(event));
 }
 
+Duration StoreClient::Private::watchPause() const
+{
+    const double scale = std::max(1.0, static_cast<double>(m_daemons.load()) / FleetOfShortestPause);
+    const auto pause = duration_cast<Duration>(m_settings.watchPause * scale);
+    return std::min(pause, std::max(m_settings.watchPause, m_settings.longestWatchPause));
+}
+
 void StoreClient::Private::onObjects(const HttpCall &call)
 {
     const auto found = call.kind == CallKind::Watch ? m_watches.find(call.key.kind) : m_watches.end();
@@ -437,8 +447,7 @@
         watch->inFlight = nullptr;
         const bool isHistoryGone = call.code == CURLE_OK && call.status == 410;
         watch->nextAt = MonotonicClock::now()
-            + (call.isOk() || isHistoryGone ? (call.isList ? Duration::zero() : m_settings.watchPause)
-                                            : watchRetryDelay);
+            + (call.isOk() || isHistoryGone ? (call.isList ? Duration::zero() : watchPause()) : watchRetryDelay);
         if (!call.isOk() && (isHistoryGone || call.isList)) {
             watch->restartList();
         }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -57,6 +57,7 @@
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
     void startStreaming(const Pending &request);
+    double uniform();
     Refusal routedRefusal(const PendingRequest &request, Refusal refusal);
     void respondRefusal(const PendingRequest &request, const Refusal &refusal);
     void runRouted();
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -250,10 +250,11 @@
     counter.add();
     traceOutcome(*request, refusal.outcome, refusal.reason);
     logEvent(Events::RequestRefused,
-             "request {} {} {}: {} {}, {}, return in {} ms, after {} ms, {} attempts, server {}", request->requestId,
-             request->method, request->exchange->target(), toString(refusal.outcome), reasonInfo(refusal.reason).code,
-             refusal.detail, refusal.untilMs, duration_cast<milliseconds>(m_now - request->arrivedAt).count(),
-             request->plan ? request->plan->attempts() : 0, request->serverIdentity.name);
+             "request {} {} {}: {} {}, {}, return in {} ms, after {} ms, {} attempts, server {}, key position {}",
+             request->requestId, request->method, request->exchange->target(), toString(refusal.outcome),
+             reasonInfo(refusal.reason).code, refusal.detail, refusal.untilMs,
+             duration_cast<milliseconds>(m_now - request->arrivedAt).count(),
+             request->plan ? request->plan->attempts() : 0, request->serverIdentity.name, toHex(request->hash));
     recordOutcome(*request, refusal);
     if (m_shared.dialect()) {
         respondRefusal(*request, refusal);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -195,6 +195,13 @@
         refuse(request, routedRefusal(*request, {owner.reason, Outcome::NotRun, {}, 0}));
         return;
     }
+    const bool isHeldBack = isKeyed && uniform() < traffic.observations.refusedShare(m_now, owner.server);
+    if (isHeldBack) {
+        traffic.observations.heldBack(m_now, owner.server);
+        request->serverIdentity = traffic.route->servers()[owner.server].identity;
+        refuse(request, routedRefusal(*request, {Reason::ServerShed, Outcome::NotRun, "the key's owner is full", 0}));
+        return;
+    }
     const auto view = traffic.observations.view(m_now, owner.server);
     const auto expected = ownerTime(view);
     if (m_now + expected > request->deadline) {
@@ -237,6 +244,12 @@
     m_held.push_back(request);
 }
 
+/// 0 to 1.
+double RequestHandler::uniform()
+{
+    return static_cast<double>(m_random() >> 11) * 0x1p-53;
+}
+
 /// Fills in outcome and time of return.
 Refusal RequestHandler::routedRefusal(const PendingRequest &request, Refusal refusal)
 {
@@ -245,7 +258,7 @@
     }
     if (refusal.outcome == Outcome::NotRun) {
         const auto wait = std::max<std::int64_t>(refusal.untilMs, duration_cast<milliseconds>(OverloadReturn).count());
-        const double spread = 1 + ReturnSpread * static_cast<double>(m_random() >> 11) * 0x1p-53;
+        const double spread = 1 + ReturnSpread * uniform();
         refusal.untilMs = static_cast<std::int64_t>(static_cast<double>(wait) * spread);
     }
     return refusal;
--- a/src/routing/observations.cpp
+++ b/src/routing/observations.cpp
@@ -204,6 +204,44 @@
     return server < m_order.size() ? m_entries[m_order[server]].inFlight : 0;
 }
 
+double ServerObservations::refusedShare(Instant now, ServerIndex server) const
+{
+    return server < m_order.size() ? m_entries[m_order[server]].throttle.refusedShare(now) : 0;
+}
+
+void ServerObservations::heldBack(Instant now, ServerIndex server)
+{
+    if (server < m_order.size()) {
+        m_entries[m_order[server]].throttle.heldBack(now);
+    }
+}
+
+/// A lost connection counts as refused while the server has a queue: full servers reset connections. Otherwise it says
+/// nothing about room.
+void ServerObservations::countTaken(Instant now, Entry &entry, const AttemptObservation &observation)
+{
+    const bool hasQueue = observation.busyBefore >= std::max<double>(1, entry.slots);
+    switch (observation.end) {
+    case AttemptEnd::Answered:
+        entry.throttle.taken(now);
+        if (observation.load && observation.load->queued == 0 && observation.load->inFlight < observation.load->slots) {
+            entry.throttle.cleared();
+        }
+        break;
+    case AttemptEnd::Shed:
+        entry.throttle.refused(now);
+        break;
+    case AttemptEnd::Failed:
+        if (hasQueue) {
+            entry.throttle.refused(now);
+        }
+        break;
+    case AttemptEnd::NotReady:
+    case AttemptEnd::Cancelled:
+        break;
+    }
+}
+
 ServerHandle ServerObservations::started(Instant /*now*/, ServerIndex server)
 {
     const auto handle = m_order.at(server);
@@ -221,6 +259,7 @@
         }
         return;
     }
+    countTaken(now, entry, observation);
     if (observation.load) {
         entry.report = observation.load;
         entry.reportedAt = now;
