Close connections to a server beyond the daemon's share of its limit

Cause: servers count connections that rest; 69 daemons that each keep several at a server with 99 take those of others, whose requests then end in a reset and an unknown outcome. Change: a request that starts while the daemon's share of connections is in use closes its connection at the end.

--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -62,6 +62,8 @@
     std::vector<std::string> forwardedHeaders;
 
     /// The body is read as the server takes it; otherwise it is complete in `body` before the first attempt.
+    /// The server's connection stays open for later requests.
+    bool keepsConnection = true;
     bool streamsBody = false;
     std::int64_t bodySize = 0;
     std::string body;
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -342,6 +342,7 @@
         attempt.headerLines = makeRoutedHeaders(*request);
         attempt.target = request->path;
         attempt.connectTimeoutMs = RoutedConnectTimeoutMs;
+        attempt.keepsConnection = request->keepsConnection;
     } else {
         attempt.headerLines = makeHeaders(*request, m_now);
     }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -222,6 +222,8 @@
     const auto &server = traffic.route->servers()[index];
     request->server = index;
     request->serverIdentity = server.identity;
+    // Connections that rest count at the server: what this daemon keeps beyond its share takes those of others.
+    request->keepsConnection = traffic.observations.inFlight(index) < traffic.observations.share().connections;
     request->handle = traffic.observations.started(m_now, index);
     startAttempt(request, "http://" + server.address + "/");
 }
--- a/src/proxy/tests/upstreamtest.cpp
+++ b/src/proxy/tests/upstreamtest.cpp
@@ -21,9 +21,11 @@
     }
 
     /// Runs one attempt to its end and returns the result.
-    AttemptResult run(const std::string &method, const std::string &address, const std::string &body)
+    AttemptResult run(const std::string &method, const std::string &address, const std::string &body,
+                      bool keepsConnection = true)
     {
         AttemptRequest request;
+        request.keepsConnection = keepsConnection;
         request.method = method;
         request.url = "http://" + address + "/x";
         request.headerLines = {"Expect:"};
@@ -84,6 +86,16 @@
     }
 }
 
+// Guards against idle connections beyond a daemon's share, which make a server reset those of other daemons.
+TEST_F(UpstreamTest, connectionBeyondTheShareIsNotKept)
+{
+    RawServer server([](int, const std::string &) { return KeptAnswer; });
+    EXPECT_TRUE(run("GET", server.address(), "", false).isNewConnection);
+    EXPECT_TRUE(run("GET", server.address(), "").isNewConnection);
+    EXPECT_FALSE(run("GET", server.address(), "").isNewConnection);
+    EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against a refused connection being reported as possibly run.
 TEST_F(UpstreamTest, refusedConnectionIsNotSent)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -193,6 +193,7 @@
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(attempt->request.connectTimeoutMs));
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, detectSilence);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleLimit(attempt->request.url));
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, attempt->request.keepsConnection ? 0L : 1L);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(attempt->request.timeoutMs));
     setBodyOptions(handle, *attempt);
     curl_multi_add_handle(m_multi, handle);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -72,6 +72,8 @@
     std::int64_t timeoutMs = 0;
     /// Servers open a connection in about 1 ms; 1 s covers a lost SYN.
     std::int64_t connectTimeoutMs = 1'000;
+    /// False closes the connection after the response.
+    bool keepsConnection = true;
 };
 
 class Attempt;
