Give the succession of leaders a file of its own

Change: succession.cpp holds who leads, the takeover and which earlier leaders may still order; no change of behaviour.

--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -19,8 +19,8 @@
     Leader,
 };
 
-/// State of one LeaseController. Files: controller.cpp (events, leadership, record), orders.cpp (grants and releases),
-/// tables.cpp (table for routing, messages, load).
+/// State of one LeaseController. Files: controller.cpp (events, record), succession.cpp (who leads), orders.cpp (grants
+/// and releases), tables.cpp (table for routing, messages, load).
 class LeaseController::Private
 {
 public:
@@ -56,6 +56,7 @@
     void follow();
     Duration takeoverDelay() const;
     std::ptrdiff_t successorsAhead() const;
+    void drawLateSuccession();
     bool isLateSuccessor() const;
     void noteSilentRecord();
     void tryTakeOver();
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -114,7 +114,6 @@
         }
         const bool hasRoom = m_slices.size() < MaxRangesPerServer * m_uses.size();
         while (hasRoom && m_moves.size() < m_maxMoves && relieveBusiest()) {}
-
         return std::move(m_moves);
     }
 
