Log why lease calls fail, the leader's load, slow passes and late sends

The logs could not tell whether servers refuse lease calls or the leader is late, nor whether a request waited unread. Event 336 names the cause, 342 sums up the leader each 2 s, 208 reports a slow pass of a worker and 209 a request that is sent late.

--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -177,6 +177,8 @@
     LeaseCallStatus status = LeaseCallStatus::Unknown;
     /// Release: proof for the next holder.
     std::string releaseProof;
+    /// Why the call failed, for the log; empty when it was accepted.
+    std::string detail;
 };
 
 /// A message from another daemon whose MAC was verified. `payload` is the slice's own cereal encoding.
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -18,6 +18,7 @@
 constexpr Duration ReadInterval = milliseconds(250);
 /// After a suspension a daemon waits this long for an announcement of the leader before it takes over.
 constexpr Duration GraceAfterPause = milliseconds(400);
+constexpr Duration SummaryInterval = seconds(2);
 
 ObjectKey recordKey(const std::string &service)
 {
@@ -234,6 +235,28 @@
     if (m_now >= m_nextAnnounceAt) {
         announce();
     }
+    logSummaryIfDue();
+}
+
+/// Logs how much the leader manages and how its lease calls ended, so that a leader with too many calls can be told from
+/// servers that refuse them.
+void LeaseController::Private::logSummaryIfDue()
+{
+    if (m_now < m_nextSummaryAt) {
+        return;
+    }
+    m_nextSummaryAt = m_now + SummaryInterval;
+    const auto &slices = m_slices.all();
+    const auto granted = std::count_if(slices.begin(), slices.end(), [](const LeaseSlice &it) { return it.isGranted; });
+    const auto moving = std::count_if(slices.begin(), slices.end(), [](const LeaseSlice &it) { return it.isBusy(); });
+    const auto excluded = std::count_if(m_exclusions.begin(), m_exclusions.end(),
+                                        [&](const auto &it) { return it.second.until > m_now; });
+    const auto &n = m_replyCounts;
+    decide(LeaseEvents::LeaderSummary, {},
+           fmt::format("{} ranges, {} granted, {} moving; {} servers, {} of them excluded; lease calls since the last "
+                       "summary: {} accepted, {} outdated, {} refused, {} not sent, {} without an answer",
+                       slices.size(), granted, moving, m_servers.size(), excluded, n[0], n[1], n[2], n[3], n[4]));
+    m_replyCounts = {};
 }
 
 LeaseRecord LeaseController::Private::wantedRecord() const
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <map>
 #include <set>
 
@@ -103,6 +104,7 @@
     LeaseLoad currentLoad();
     LeaseNotice notice() const;
     void decide(const EventType &event, const SliceRange &range, std::string text);
+    void logSummaryIfDue();
     void sendPeer(const std::string &vm, std::uint16_t type, std::string payload);
 
     Instant m_now{};
@@ -185,6 +187,9 @@
     };
     std::map<Identity, ServiceTime> m_serviceTimes;
     Instant m_loadSince{};
+    /// Replies to lease calls since the last summary, by LeaseCallStatus.
+    std::array<std::size_t, 5> m_replyCounts{};
+    Instant m_nextSummaryAt{};
 };
 
 }
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -233,6 +233,7 @@
         return;
     }
     slice->openCall = 0;
+    ++m_replyCounts[static_cast<std::size_t>(event.status)];
     if (event.status == LeaseCallStatus::Accepted) {
         m_exclusions.erase(event.call.server);
     }
@@ -288,7 +289,7 @@
         m_nextPlanAt = m_now;
         decide(LeaseEvents::HolderUnresponsive, slice.range,
                fmt::format(
-                   "{} does not answer; it may hold the range for {} ms more", slice.holder.name,
+                   "{} does not answer: {}; it may hold the range for {} ms more", slice.holder.name, event.detail,
                    duration_cast<milliseconds>(std::max(slice.holdsUntil, slice.unansweredUntil) - m_now).count()));
     }
 }
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -13,6 +13,8 @@
 inline constexpr EventType ResponseCut{204, Severity::Warning, "response-cut"};
 inline constexpr EventType RequestRetried{206, Severity::Info, "request-retried"};
 inline constexpr EventType RequestLeft{207, Severity::Info, "request-left"};
+inline constexpr EventType WorkerLagged{208, Severity::Warning, "worker-lagged"};
+inline constexpr EventType RequestSentLate{209, Severity::Info, "request-sent-late"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -26,6 +26,7 @@
 constexpr long MaxServerConnections = 1'024;
 constexpr int MaxWaitMs = 50;
 constexpr int MaxEventsPerWait = 128;
+constexpr Duration NotableLag = milliseconds(200);
 
 int shorterTimeoutMs(int a, int b)
 {
@@ -146,6 +147,7 @@
     {
         std::array<epoll_event, MaxEventsPerWait> events;
         const int n = epoll_wait(m_epollFd, events.data(), MaxEventsPerWait, waitMs(MonotonicClock::now()));
+        const auto wokenAt = MonotonicClock::now();
         for (int it = 0; it < n; ++it) {
             const auto tag = events[static_cast<std::size_t>(it)].data.u64 & TagMask;
             if (tag == WakeTag) {
@@ -155,10 +157,20 @@
                 m_upstream.handleSocket(fd, events[static_cast<std::size_t>(it)].events);
             }
         }
-        const auto now = MonotonicClock::now();
-        m_upstream.run(now);
-        m_handler.run(now);
+        m_upstream.run(MonotonicClock::now());
+        m_handler.run(MonotonicClock::now());
         m_listener.run();
+        logLag(wokenAt, n);
+    }
+
+    /// A VM that is short of processor time reads requests late; without this line they look new.
+    void logLag(Instant wokenAt, int events)
+    {
+        const auto lag = MonotonicClock::now() - wokenAt;
+        if (lag >= NotableLag) {
+            logEvent(Events::WorkerLagged, "one pass with {} events took {} ms", events,
+                     duration_cast<milliseconds>(lag).count());
+        }
     }
 
     void handleWake()
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -29,6 +29,7 @@
 constexpr Duration OverloadRetryAfter = milliseconds(300);
 constexpr Duration KeyLoadInterval = milliseconds(250);
 constexpr std::size_t MaxUnownedPositions = 4'096;
+constexpr Duration NotableAge = milliseconds(400);
 
 bool isListed(std::string_view list, std::string_view name)
 {
@@ -229,6 +230,11 @@
     // connections from others.
     request->keepsConnection = traffic.observations.inFlight(index) < traffic.observations.share().connections;
     request->handle = traffic.observations.started(m_now, index);
+    const auto age = MonotonicClock::now() - request->arrivedAt;
+    if (age >= NotableAge) {
+        logEvent(Events::RequestSentLate, "request {}: attempt {} to {} {} ms after it was read", request->requestId,
+                 request->plan->attempts() + 1, server.identity.name, duration_cast<milliseconds>(age).count());
+    }
     startAttempt(request, "http://" + server.address + "/");
 }
 
