Do not send a request whose caller has already left

What callers saw: GONE.

Cause: a request may wait unread in its socket, for instance on a VM that is short of processor time. When it was read at last, it was sent on without a look at the connection; the first look came up to 100 ms later.

Change: each dispatch looks at the caller's connection first, for a new request, one that waited for an owner and one that is sent again, in both deployments.

--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -243,6 +243,10 @@
         refuse(request, *refusal);
         return;
     }
+    if (hasCallerLeft(*request)) {
+        abandon(request);
+        return;
+    }
     auto &traffic = *request->traffic;
     if (request->isForLedgerOwner) {
         request->serverIdentity = {};
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -28,6 +28,9 @@
     /// Resumes paused bodies, starts delayed attempts and dispatches queued requests. Call once per iteration of the
     /// event loop.
     void run(Instant now);
+    /// Abandons the requests of callers that have left; looks at the connections every 100 ms. Call before the events
+    /// of server connections, so that after a stall no request is sent for a caller that left meanwhile.
+    void abandonLeft(Instant now);
 
 private:
     using Pending = std::shared_ptr<PendingRequest>;
@@ -65,9 +68,15 @@
     void respondRefusal(const PendingRequest &request, const Refusal &refusal);
     void runRouted();
     void reportKeyLoads();
-    void dropDisconnected();
     void refuseExpired();
 
+    // callers that have left (leftcallers.cpp)
+    /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
+    static bool hasCallerLeft(const PendingRequest &request);
+    /// Ends a request whose caller has left: it is not sent, and an attempt in flight is cancelled unless its outcome
+    /// must be recorded.
+    void abandon(const Pending &request);
+
     // body and admission
     void receiveBody(const Pending &request);
     void receiveGrant(const Pending &request);
@@ -129,7 +138,8 @@
     /// Snapshot as of the last run; a newer one triggers a retry of m_waitingForOwner.
     std::shared_ptr<const RoutingSnapshot> m_retriedSnapshot;
     std::mt19937_64 m_random;
-    Instant m_nextDisconnectCheck{};
+    Instant m_nextCallerCheck{};
+    Instant m_nextExpiryCheck{};
     std::uint64_t m_nextTicket = 1;
     Instant m_now{};
     Instant m_nextSweep{};
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -1,7 +1,5 @@
 #include <algorithm>
 
-#include <poll.h>
-
 #include <fmt/format.h>
 
 #include "events_p.h"
@@ -21,7 +19,7 @@
 constexpr Duration MaxMoveTime = milliseconds(500);
 /// Approximate time from the loss of a server until its keys have a new owner.
 constexpr Duration OwnerReplacementTime = milliseconds(2'600);
-constexpr Duration DisconnectCheckInterval = milliseconds(100);
+constexpr Duration ExpiryCheckInterval = milliseconds(100);
 /// Retry-after times are extended by a random share of up to this value, so that callers refused together do not all
 /// retry at once.
 constexpr double RetryAfterJitter = 0.5;
@@ -213,6 +211,10 @@
         refuse(request, routedRefusal(*request, {Reason::DeadlineTooShort, Outcome::NotRun, {}, lateMs}));
         return;
     }
+    if (hasCallerLeft(*request)) {
+        abandon(request);
+        return;
+    }
     request->outstandingAtStart = view.outstanding;
     if (isKeyed) {
         traffic.unownedSince.erase(request->hash);
@@ -411,9 +413,8 @@
         m_nextLoad = m_now + KeyLoadInterval;
         reportKeyLoads();
     }
-    if (m_now >= m_nextDisconnectCheck) {
-        m_nextDisconnectCheck = m_now + DisconnectCheckInterval;
-        dropDisconnected();
+    if (m_now >= m_nextExpiryCheck) {
+        m_nextExpiryCheck = m_now + ExpiryCheckInterval;
         refuseExpired();
     }
 }
@@ -446,35 +447,6 @@
     }
 }
 
-/// Polls for callers that have disconnected, since libmicrohttpd does not watch connections that wait for a response.
-void RequestHandler::dropDisconnected()
-{
-    std::vector<pollfd> entries;
-    std::vector<Pending> waiting;
-    for (const auto &it : m_active) {
-        const int fd = it->finished ? -1 : it->exchange->socket();
-        if (fd < 0) {
-            continue;
-        }
-        entries.push_back({fd, POLLRDHUP, 0});
-        waiting.push_back(it);
-    }
-    if (entries.empty() || poll(entries.data(), entries.size(), 0) <= 0) {
-        return;
-    }
-    for (std::size_t n = 0; n < entries.size(); ++n) {
-        if ((entries[n].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 || waiting[n]->finished) {
-            continue;
-        }
-        logEvent(Events::RequestLeft, "request {}: the caller disconnected after {} ms, server {}",
-                 waiting[n]->requestId, duration_cast<milliseconds>(m_now - waiting[n]->arrivedAt).count(),
-                 waiting[n]->serverIdentity.name);
-        handleExchangeEnd(waiting[n], false);
-        finish(waiting[n]);
-        waiting[n]->exchange->drop();
-    }
-}
-
 /// Refuses requests that are past their deadline without an attempt in flight, for example because the body has not
 /// arrived. Attempts have a timeout of their own.
 void RequestHandler::refuseExpired()
--- a/src/proxy/worker.cpp
+++ b/src/proxy/worker.cpp
@@ -119,6 +119,7 @@
     std::array<epoll_event, MaxEventsPerWait> events;
     const int n = epoll_wait(m_epollFd, events.data(), MaxEventsPerWait, waitMs(MonotonicClock::now()));
     const auto wokenAt = MonotonicClock::now();
+    m_handler.abandonLeft(wokenAt);
     for (int it = 0; it < n; ++it) {
         const auto tag = events[static_cast<std::size_t>(it)].data.u64 & TagMask;
         if (tag == WakeTag) {
