Do not go on with an object that was missed or came back older

- An event that found the control thread's ring full was dropped, counted and logged, but the watch went on behind it: the daemon would have kept the older object until the next full list, up to 60 s later.
The handler now says whether it took the event, and the kind is listed again.
- A list of several pages continued its watch from the last page's revision, so a change of an object of an earlier page made in between was missed until its next change.
The watch now continues from the first page's revision, and an object is passed on only if no later version of it was passed on before.

--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -148,12 +148,13 @@
 /// Events passed to the handler: ObjectEvent (reads, lists, watches), ObjectMissingEvent (404, removed, or missing from
 /// a later list of a watched kind), KindSyncedEvent, WriteResultEvent (exactly one for each accepted write),
 /// VmListEvent. A failed read gives no event; its caller repeats it. Example: `StoreClient client(settings, metrics,
-/// [&](ControlEvent event) { ring.tryPush(std::move(event)); });`
+/// [&](ControlEvent event) { return ring.tryPush(std::move(event)); });`
 class StoreClient
 {
 public:
-    /// Called on the client's thread.
-    using Handler = std::function<void(ControlEvent)>;
+    /// Called on the client's thread. Returns false when the event could not be taken; the kind of a watched object is
+    /// then listed again, so that no daemon goes on with an object that it missed.
+    using Handler = std::function<bool(ControlEvent)>;
 
     StoreClient(StoreClientSettings settings, Metrics &metrics, Handler handler);
     /// Cancels calls in flight without events.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -223,7 +223,7 @@
     client.endpoint = "http://" + toString(settings.platform);
     client.budget.seed = self.boot;
     platform = std::make_unique<StoreClient>(
-        client, metrics, [this](ControlEvent event) { control->post(EventSource::Platform, std::move(event)); });
+        client, metrics, [this](ControlEvent event) { return control->post(EventSource::Platform, std::move(event)); });
 }
 
 Result<void> Daemon::Impl::start()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -203,7 +203,7 @@
     client.budget.shortestRestartWindows = {milliseconds(50), milliseconds(50), milliseconds(200), seconds(1)};
     client.budget.seed = self.boot;
     store = std::make_unique<StoreClient>(
-        client, metrics, [this](ControlEvent event) { control->post(EventSource::Platform, std::move(event)); });
+        client, metrics, [this](ControlEvent event) { return control->post(EventSource::Platform, std::move(event)); });
     store->setWatch(dialect.configuration.kind, true);
     store->setWatch(dialect.serverKind, true);
 }
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -50,10 +50,15 @@
     std::uint64_t revision = 0;
     /// Name after which the next page of a list starts; empty for the first page.
     std::string listAfter;
-    /// Names passed to the handler.
-    std::set<std::string> deliveredNames;
+    /// Versions of the objects passed to the handler, by name.
+    std::map<std::string, std::uint64_t> deliveredVersions;
     /// Names in the pages of the list in progress.
     std::set<std::string> listedNames;
+    /// Revision of the first page of the list in progress. The watch continues from it: an object of an early page may
+    /// change while later pages are read.
+    std::uint64_t listRevision = 0;
+    /// The handler could not take an event of the page in progress.
+    bool hasLostEvent = false;
     Instant nextAt;
     Instant listedAt;
 
@@ -105,6 +110,8 @@
     void onObjects(const HttpCall &call);
     /// Passes the objects of a list or a watch to the handler and updates where the watch continues.
     void deliverPage(const HttpCall &call, ObjectPage &page, WatchState *watch);
+    void deliverObject(StoredObject &&object, WatchState *watch);
+    void deliverRemoval(const ObjectKey &key, WatchState *watch);
     /// Reports objects as missing that were delivered before and that a complete list no longer contains.
     void reportMissingObjects(const std::string &kind, WatchState &watch);
     void onVmList(const HttpCall &call);
@@ -485,47 +492,87 @@
         reportMalformedResponse(call, it.code, it.place + ": " + it.message);
     }
     for (auto &it : page.items) {
-        if (watch) {
-            watch->deliveredNames.insert(it.key.name);
-            watch->listedNames.insert(it.key.name);
-        }
-        m_handler(ObjectEvent{std::move(it), true});
+        deliverObject(std::move(it), watch);
     }
-    for (auto &it : page.removed) {
-        if (watch) {
-            watch->deliveredNames.erase(it.name);
-        }
-        m_handler(ObjectMissingEvent{std::move(it)});
+    for (const auto &it : page.removed) {
+        deliverRemoval(it, watch);
     }
     if (!watch) {
         return;
     }
-    if (call.isList && !page.nextAfter.empty()) {
+    if (call.isList && watch->listAfter.empty()) {
+        watch->listRevision = page.revision;
+    }
+    if (call.isList && !page.nextAfter.empty() && !watch->hasLostEvent) {
         watch->listAfter = page.nextAfter;
         return;
     }
-    if (call.isList) {
+    if (call.isList && !watch->hasLostEvent) {
         reportMissingObjects(kind, *watch);
     }
+    const auto revision = call.isList ? watch->listRevision : page.revision;
+    if (watch->hasLostEvent) {
+        watch->hasLostEvent = false;
+        watch->restartList();
+        watch->nextAt = MonotonicClock::now() + WatchRetryDelay;
+        return;
+    }
     // A lower revision than before means that the platform responded from an outdated copy, so the kind is listed
     // again.
-    if (page.revision < watch->revision) {
+    if (revision < watch->revision) {
         watch->restartList();
     } else {
         watch->needsList = false;
     }
-    watch->revision = page.revision;
-    m_handler(KindSyncedEvent{kind, page.revision});
+    watch->revision = revision;
+    m_handler(KindSyncedEvent{kind, revision});
+}
+
+/// Passes an object on unless a later version of it was delivered before.
+void StoreClient::Private::deliverObject(StoredObject &&object, WatchState *watch)
+{
+    if (!watch) {
+        m_handler(ObjectEvent{std::move(object), true});
+        return;
+    }
+    const auto name = object.key.name;
+    const auto version = object.version;
+    watch->listedNames.insert(name);
+    const auto delivered = watch->deliveredVersions.find(name);
+    if (delivered != watch->deliveredVersions.end() && version < delivered->second) {
+        return;
+    }
+    if (m_handler(ObjectEvent{std::move(object), true})) {
+        watch->deliveredVersions[name] = version;
+    } else {
+        watch->hasLostEvent = true;
+    }
+}
+
+void StoreClient::Private::deliverRemoval(const ObjectKey &key, WatchState *watch)
+{
+    const bool isTaken = m_handler(ObjectMissingEvent{key});
+    if (!watch) {
+        return;
+    }
+    if (isTaken) {
+        watch->deliveredVersions.erase(key.name);
+    } else {
+        watch->hasLostEvent = true;
+    }
 }
 
 void StoreClient::Private::reportMissingObjects(const std::string &kind, WatchState &watch)
 {
-    for (const auto &it : watch.deliveredNames) {
-        if (watch.listedNames.count(it) == 0) {
-            m_handler(ObjectMissingEvent{{kind, it}});
+    std::vector<std::string> missing;
+    for (const auto &[name, version] : watch.deliveredVersions) {
+        if (watch.listedNames.count(name) == 0) {
+            missing.push_back(name);
         }
     }
-    watch.deliveredNames = std::move(watch.listedNames);
+    for (const auto &it : missing) {
+        deliverRemoval({kind, it}, &watch);
+    }
     watch.listedNames.clear();
     watch.listAfter.clear();
 }
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <sstream>
 
 #include <galenarock/storeclient.h>
 
@@ -15,18 +16,23 @@
 class Fixture
 {
 public:
-    explicit Fixture(ScriptedServer::Script script)
+    explicit Fixture(ScriptedServer::Script script, const std::function<void(StoreClientSettings &)> &adjust = {})
         : server(std::move(script))
-        , client(settings(server.endpoint()), metrics, [this](ControlEvent event) { onEvent(std::move(event)); })
+        , client(settings(server.endpoint(), adjust), metrics,
+                 [this](ControlEvent event) { return onEvent(std::move(event)); })
     {
     }
-    static StoreClientSettings settings(const std::string &endpoint)
+    static StoreClientSettings settings(const std::string &endpoint,
+                                        const std::function<void(StoreClientSettings &)> &adjust = {})
     {
         StoreClientSettings result;
         result.endpoint = endpoint;
         result.vmListInterval = Duration::zero();
         result.budget.firstBackOff = milliseconds(1);
         result.budget.longestBackOff = milliseconds(2);
+        if (adjust) {
+            adjust(result);
+        }
         return result;
     }
     template<typename Event> Event next()
@@ -51,13 +57,21 @@
 
     Metrics metrics;
     ScriptedServer server;
+    /// Number of object events that the handler does not take.
+    std::atomic<int> objectsToRefuse{0};
 
 private:
-    void onEvent(ControlEvent event)
+    bool onEvent(ControlEvent event)
     {
+        const bool isObject = std::holds_alternative<ObjectEvent>(event);
+        if (isObject && objectsToRefuse > 0) {
+            --objectsToRefuse;
+            return false;
+        }
         const std::lock_guard lock(m_mutex);
         m_events.push_back(std::move(event));
         m_changed.notify_all();
+        return true;
     }
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -136,6 +150,7 @@
         const std::lock_guard lock(mutex);
         result = std::get<WriteResultEvent>(event);
         changed.notify_all();
+        return true;
     });
     client.submit(WriteObjectAction{{"mandate", "vitrina"}, 0, 1, {}, CallPriority::Leadership});
     std::unique_lock lock(mutex);
@@ -243,3 +258,74 @@
         EXPECT_GT(peak, 0u);
     }
 }
+
+namespace
+{
+/// Page of a list or a watch from a script of its own: the text `version revision after`.
+ObjectPage scriptedPage(const std::string &text)
+{
+    std::istringstream in(text);
+    ObjectPage page;
+    StoredObject object{{"mandate", ""}, 0, 0, {}};
+    in >> object.key.name >> object.version >> page.revision >> page.nextAfter;
+    page.items.push_back(object);
+    return page;
+}
+
+void useScriptedPages(StoreClientSettings &settings)
+{
+    settings.dialect.decodeList = [](const std::string &, const std::string &body) -> Result<ObjectPage> {
+        return scriptedPage(body);
+    };
+    settings.dialect.decodeWatch = settings.dialect.decodeList;
+    settings.dialect.list = [](const std::string &, const std::string &after) {
+        return StoreCall{"GET", "/list/" + after, {}};
+    };
+    settings.dialect.watch = [](const std::string &, std::uint64_t revision, Duration) {
+        return StoreCall{"GET", fmt::format("/watch/{}", revision), {}};
+    };
+}
+}
+
+// Guards against a daemon that keeps an older configuration until the next full list, a minute later, because the event
+// with the newer one found the control thread's ring full.
+TEST(StoreClient, objectThatTheHandlerCouldNotTakeIsDeliveredAgain)
+{
+    Fixture fixture(
+        [](const std::string &request) -> std::optional<std::string> {
+            const bool isList = request.find("/list/") != std::string::npos;
+            return ScriptedServer::response(200, isList ? "vitrina 4 10" : "later 11 11");
+        },
+        useScriptedPages);
+    fixture.objectsToRefuse = 2;
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.key.name, "vitrina");
+    EXPECT_EQ(fixture.objectsToRefuse, 0);
+}
+
+// Guards against missing a change of an object that is made after its page of a list was read and before the last page
+// was, and against passing on an older version of an object of a later page when the changes are read again.
+TEST(StoreClient, changeBetweenThePagesOfAListIsNotMissed)
+{
+    Fixture fixture(
+        [](const std::string &request) -> std::optional<std::string> {
+            const auto path = request.substr(4, request.find(' ', 4) - 4);
+            if (path == "/list/") {
+                return ScriptedServer::response(200, "a 5 10 a");
+            }
+            if (path == "/list/a") {
+                return ScriptedServer::response(200, "b 14 20");
+            }
+            if (path == "/watch/10") {
+                return ScriptedServer::response(200, "b 12 11");
+            }
+            return path == "/watch/11" ? std::optional(ScriptedServer::response(200, "a 15 21")) : std::nullopt;
+        },
+        useScriptedPages);
+    fixture.client.setWatch("mandate", true);
+    std::vector<std::uint64_t> versions;
+    for (int n = 0; n < 3; ++n) {
+        versions.push_back(fixture.next<ObjectEvent>().object.version);
+    }
+    EXPECT_EQ(versions, (std::vector<std::uint64_t>{5, 14, 15}));
+}
