End answers that never end, and keep false promises from the caller

A body that is not passed on is now read up to 64 KB, which keeps the connection usable, then the attempt ends. - A 408, 421, 429 or 503 that the server did not mark as not run is replaced by an unknown outcome, but only if its body was short: from 64 KB on the response was streamed to the caller with the server's status. Such a body is discarded as well. - Replies of servers to galenarockd's grants are limited to 1 MB. Endless heads, interim responses and bytes without a line end were already cut off by libcurl at some 300 KB; tests now hold that.

--- a/src/daemon/servercaller.cpp
+++ b/src/daemon/servercaller.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t PollTimeoutMs = 600;
 /// A server answers a revoke only after its requests in flight have finished.
 constexpr std::int64_t RevokeTimeoutMs = 60'000;
+constexpr std::size_t MaxReplyBytes = 1 << 20;
 
 /// State of a call until its reply has arrived.
 struct OpenCall
@@ -68,7 +69,7 @@
     };
     hooks.onData = [call](const char *bytes, std::size_t n) {
         call->reply.append(bytes, n);
-        return true;
+        return call->reply.size() > MaxReplyBytes ? DataResult::Abort : DataResult::Taken;
     };
     hooks.onDone = [this, call](const AttemptResult &result) {
         finish(call->action, call->sentAt, result, call->reply);
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -73,7 +73,7 @@
         return true;
     };
     hooks.onData = [](const char *, std::size_t) {
-        return true;
+        return DataResult::Taken;
     };
     hooks.onDone = [this, pending](const AttemptResult &result) {
         finish(*pending, result);
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -91,6 +91,9 @@
     unsigned responseStatus = 0;
     std::vector<HeaderField> responseHeaders;
     std::string responseBody;
+    /// Bytes received of a body that is not passed on, because the server refused the request or its response is
+    /// defective.
+    std::size_t discardedBytes = 0;
     /// Reason that the server gave for refusing the request; Reason::None for a regular response.
     Reason serverRefusal = Reason::None;
     /// The server, or the ledger owner of the request id, reported that the request may have run.
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -356,6 +356,7 @@
     request->responseStatus = 0;
     request->responseHeaders.clear();
     request->responseBody.clear();
+    request->discardedBytes = 0;
     request->serverRefusal = Reason::None;
     request->reportedUnknown = false;
     request->load.reset();
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -104,7 +104,7 @@
 
     // responses and outcomes
     bool handleHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
-    bool handleData(const Pending &request, const char *bytes, std::size_t n);
+    DataResult handleData(const Pending &request, const char *bytes, std::size_t n);
     void handleDone(const Pending &request, const AttemptResult &result);
     /// Reason for which an attempt has no response that can be passed on.
     static Reason failureOf(const PendingRequest &request, const AttemptResult &result);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -13,6 +13,8 @@
 
 namespace
 {
+constexpr std::size_t MaxDiscardedBytes = 65'536;
+
 std::vector<HeaderField> refusalHeaders(const Refusal &refusal)
 {
     std::vector<HeaderField> headers{{"Content-Type", "application/json"},
@@ -113,23 +115,25 @@
     return true;
 }
 
-bool RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
+DataResult RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
 {
-    if (request->serverRefusal != Reason::None) {
-        return true;
+    // The body of a response that is not passed on only matters because its end keeps the connection usable.
+    if (request->serverRefusal != Reason::None || request->defect != Reason::None) {
+        request->discardedBytes += n;
+        return request->discardedBytes > MaxDiscardedBytes ? DataResult::Abort : DataResult::Taken;
     }
     if (!request->streamsResponse) {
         request->responseBody.append(bytes, n);
         if (request->rule && request->responseBody.size() > CollectedResponseBytes) {
             startStreaming(request);
         }
-        return true;
+        return DataResult::Taken;
     }
     if (request->exchange->appendResponse(bytes, n)) {
-        return true;
+        return DataResult::Taken;
     }
     request->receivingPaused = true;
-    return false;
+    return DataResult::Pause;
 }
 
 void RequestHandler::handleDone(const Pending &request, const AttemptResult &result)
--- a/src/proxy/tests/rawserver.h
+++ b/src/proxy/tests/rawserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cerrno>
 #include <functional>
 #include <string>
 
@@ -64,6 +65,11 @@
     {
         return m_connections;
     }
+    /// Called with the connection after each answer, before the connection is closed. Set before the first request.
+    void setAfterAnswer(std::function<void(int fd)> hook)
+    {
+        m_onAnswered = std::move(hook);
+    }
 
 private:
     bool isReadable(int fd) const
@@ -103,7 +109,14 @@
             }
             const auto answer = m_script(++m_requests, text);
             text.clear();
-            if (answer.empty() || write(fd, answer.data(), answer.size()) < 0 || m_afterAnswer == AfterAnswer::Close) {
+            if (answer.empty() || write(fd, answer.data(), answer.size()) < 0) {
+                return;
+            }
+            if (m_onAnswered) {
+                m_onAnswered(fd);
+                return;
+            }
+            if (m_afterAnswer == AfterAnswer::Close) {
                 return;
             }
         }
@@ -122,6 +135,7 @@
 
     Script m_script;
     AfterAnswer m_afterAnswer;
+    std::function<void(int fd)> m_onAnswered;
     int m_listenFd;
     int m_port = 0;
     std::atomic<bool> m_stop{false};
@@ -130,4 +144,63 @@
     Thread m_thread;
 };
 
+/// A server that answers each request with a prefix and then one block again and again until the other end closes.
+class EndlessServer
+{
+public:
+    EndlessServer(std::string prefix, std::string block)
+        : m_prefix(std::move(prefix))
+        , m_block(std::move(block))
+        , m_server([this](int, const std::string &) { return m_prefix; })
+    {
+        m_server.setAfterAnswer([this](int fd) { sendUntilClosed(fd); });
+    }
+    ~EndlessServer()
+    {
+        m_stop = true;
+    }
+
+    std::string address() const
+    {
+        return m_server.address();
+    }
+    int requests() const
+    {
+        return m_server.requests();
+    }
+    /// Number of answers that the other end has closed.
+    int closedAnswers() const
+    {
+        return m_closedAnswers;
+    }
+    std::size_t sentBytes() const
+    {
+        return m_sentBytes;
+    }
+
+private:
+    void sendUntilClosed(int fd)
+    {
+        while (!m_stop) {
+            pollfd entry{fd, POLLOUT, 0};
+            if (poll(&entry, 1, 20) <= 0) {
+                continue;
+            }
+            const auto n = send(fd, m_block.data(), m_block.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (n < 0 && errno != EAGAIN) {
+                ++m_closedAnswers;
+                return;
+            }
+            m_sentBytes += n > 0 ? static_cast<std::size_t>(n) : 0;
+        }
+    }
+
+    const std::string m_prefix;
+    const std::string m_block;
+    std::atomic<bool> m_stop{false};
+    std::atomic<int> m_closedAnswers{0};
+    std::atomic<std::size_t> m_sentBytes{0};
+    RawServer m_server;
+};
+
 }
--- a/src/proxy/tests/upstreamtest.cpp
+++ b/src/proxy/tests/upstreamtest.cpp
@@ -40,7 +40,7 @@
         };
         hooks.onData = [&](const char *bytes, std::size_t n) {
             received.append(bytes, n);
-            return true;
+            return DataResult::Taken;
         };
         hooks.onDone = [&](const AttemptResult &it) {
             result = it;
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -11,10 +11,13 @@
 {
 constexpr char SmallAnswer[] = "HTTP/1.1 200 OK\r\nRequest: r-1\r\nContent-Length: 2\r\n\r\nok";
 /// More passes of the event loop than any step of these tests needs.
-constexpr int MaxPasses = 400;
+constexpr int MaxPasses = 20'000;
 /// Longer than the interval at which a worker looks for callers that have left.
 constexpr Duration Stall = milliseconds(150);
 
+/// More than the buffers of two sockets hold, far less than a server can send within a route's timeout.
+constexpr std::size_t MaxEndlessBytes = 32 << 20;
+
 /// Dialect with the headers `Request` (id) and `Key` (position).
 std::shared_ptr<const RequestDialect> testDialect()
 {
@@ -109,7 +112,7 @@
         rule.prefix = "/a/";
         rule.destinations = {{"shop", 1}};
         rule.repeatability = Repeatability::Idempotent;
-        rule.timeoutMs = 10'000;
+        rule.timeoutMs = routeTimeoutMs;
         rule.maxAttempts = 3;
         configuration.routes = {rule};
         RoutingInput input;
@@ -163,6 +166,23 @@
 
     static constexpr char Get[] = "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: r-1\r\n\r\n";
 
+    /// Sends one request to a server of the test and returns what the caller got when the server's answer was closed.
+    std::string answerTo(EndlessServer &server)
+    {
+        setRoutes({server.address()}, Distribution::Balanced);
+        listen();
+        RawCaller caller(worker.address());
+        caller.send(Get);
+        EXPECT_TRUE(runUntil([&] { return server.closedAnswers() > 0; }));
+        EXPECT_TRUE(runUntil([&] { return shared.inFlight().load() == 0; }));
+        for (int n = 0; n < 4; ++n) {
+            worker.runOnce();
+        }
+        EXPECT_LT(server.sentBytes(), MaxEndlessBytes);
+        return caller.received();
+    }
+
+    std::int64_t routeTimeoutMs = 10'000;
     std::uint32_t epoch = 0;
     Metrics metrics;
     ProxyShared shared{metrics, {"vm-1", 11}, PeerKey{}};
@@ -233,3 +253,61 @@
     EXPECT_EQ(server.requests(), 0);
     EXPECT_EQ(attempts(), 0U);
 }
+
+// Guards against reading a head that never ends until the deadline, and storing its headers meanwhile.
+TEST_F(WorkerTest, EndlessHeadIsCutOff)
+{
+    EndlessServer server("HTTP/1.1 200 OK\r\nRequest: r-1\r\n", "X-Noise: " + std::string(4'000, 'n') + "\r\n");
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 502"), 0) << answer.substr(0, 400);
+    EXPECT_EQ(answer.find("X-Noise"), std::string::npos);
+    EXPECT_EQ(answer.find("deadline"), std::string::npos) << answer;
+}
+
+// Guards against waiting for the end of interim responses that never stop.
+TEST_F(WorkerTest, EndlessInterimResponsesAreCutOff)
+{
+    EndlessServer server("HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n");
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 502"), 0) << answer.substr(0, 400);
+    EXPECT_EQ(answer.find("deadline"), std::string::npos) << answer;
+}
+
+// Guards against reading bytes without a status line or a line end until the deadline.
+TEST_F(WorkerTest, EndlessBytesThatAreNoAnswerAreCutOff)
+{
+    EndlessServer server("\x01\x02", std::string(4'000, '\x03'));
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 502"), 0) << answer.substr(0, 400);
+    EXPECT_EQ(answer.find("deadline"), std::string::npos) << answer;
+}
+
+// Guards against waiting until the deadline for the end of a refusal's body before the request is answered.
+TEST_F(WorkerTest, EndlessBodyOfARefusalIsCutOff)
+{
+    EndlessServer server("HTTP/1.1 503 Service Unavailable\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 503"), 0) << answer.substr(0, 400);
+    EXPECT_NE(answer.find("not-run"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("deadline"), std::string::npos) << answer;
+}
+
+// Guards against passing on a status that promises "not run" although the server did not say so, when its body is too
+// long to be held back.
+TEST_F(WorkerTest, LongBodyOfAFalsePromiseIsNotPassedOn)
+{
+    EndlessServer server("HTTP/1.1 429 Too Many Requests\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 502"), 0) << answer.substr(0, 400);
+}
+
+// Guards against a success without an end that looks complete to the caller, or that goes on after the route's timeout.
+TEST_F(WorkerTest, EndlessBodyIsVisiblyBrokenAtTheTimeout)
+{
+    routeTimeoutMs = 400;
+    EndlessServer server("HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    const auto answer = answerTo(server);
+    EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 200"), 0) << answer.substr(0, 400);
+    EXPECT_NE(answer.find("Transfer-Encoding: chunked"), std::string::npos) << answer.substr(0, 400);
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -86,7 +86,15 @@
 std::size_t writeCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
-    return attempt->hooks.onData(bytes, size * n) ? size * n : CURL_WRITEFUNC_PAUSE;
+    switch (attempt->hooks.onData(bytes, size * n)) {
+    case DataResult::Taken:
+        return size * n;
+    case DataResult::Pause:
+        return CURL_WRITEFUNC_PAUSE;
+    case DataResult::Abort:
+        break;
+    }
+    return size * n + 1; // any other number makes libcurl end the transfer; 0 would not if it passed no bytes
 }
 
 std::size_t readCallback(char *out, std::size_t size, std::size_t n, void *userData)
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -43,13 +43,22 @@
     std::string error;
 };
 
+/// What becomes of the bytes that AttemptHooks::onData received.
+enum class DataResult : std::uint8_t
+{
+    Taken,
+    /// Nothing was taken; UpstreamClient::resume() delivers the same bytes again.
+    Pause,
+    /// Ends the attempt as failed and closes its connection.
+    Abort,
+};
+
 /// Hooks of one attempt. All run on the thread that drives the UpstreamClient.
 struct AttemptHooks
 {
     /// Head of the response, before any data. False ends the attempt as failed and closes its connection.
     std::function<bool(unsigned status, std::vector<HeaderField> headers)> onHead;
-    /// Returns false to pause; resume() delivers the same bytes again.
-    std::function<bool(const char *bytes, std::size_t n)> onData;
+    std::function<DataResult(const char *bytes, std::size_t n)> onData;
     std::function<void(const AttemptResult &result)> onDone;
     /// Streamed request body: returns the number of bytes written to `out`, 0 at its end, CURL_READFUNC_PAUSE while
     /// none are available, CURL_READFUNC_ABORT when the caller has disconnected. Empty when `body` of the request is
