End the workers cleanly when requests are still in flight

libmicrohttpd aborts the process when it is stopped with suspended connections: a daemon at its stop deadline with requests in flight ended by SIGABRT instead of exit. The workers close these connections first.

Evidence: WorkerTest.WorkerWithRequestsInFlightEnds aborted before.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -294,7 +294,9 @@
 void CallerListener::run()
 {
     m_runNeeded = false;
-    MHD_run(m_daemon);
+    if (m_daemon) {
+        MHD_run(m_daemon);
+    }
 }
 
 int CallerListener::timeoutMs() const
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -154,7 +154,7 @@
     std::string address() const;
     /// File descriptor to watch for input; call run() when it is readable.
     int epollFd() const;
-    /// Processes ready sockets and resumed connections.
+    /// Processes ready sockets and resumed connections; does nothing before listen().
     void run();
     /// Whether run() must be called without waiting, because connections were resumed.
     bool isRunNeeded() const
--- a/src/proxy/leftcallers.cpp
+++ b/src/proxy/leftcallers.cpp
@@ -34,6 +34,18 @@
     request->exchange->drop();
 }
 
+void RequestHandler::dropAll()
+{
+    const std::vector<Pending> list(m_active.begin(), m_active.end());
+    for (const auto &it : list) {
+        if (!it->finished) {
+            handleExchangeEnd(it, false);
+        }
+        it->exchange->abortResponse();
+        it->exchange->drop();
+    }
+}
+
 void RequestHandler::abandonLeft(Instant now)
 {
     if (now < m_nextCallerCheck) {
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -31,6 +31,8 @@
     /// Abandons the requests of callers that have left; looks at the connections every 100 ms. Call before the events
     /// of server connections, so that after a stall no request is sent for a caller that left meanwhile.
     void abandonLeft(Instant now);
+    /// Closes the connections of all requests without a complete response, before the listener is destroyed.
+    void dropAll();
 
 private:
     using Pending = std::shared_ptr<PendingRequest>;
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -311,3 +311,21 @@
     EXPECT_NE(answer.find("Transfer-Encoding: chunked"), std::string::npos) << answer.substr(0, 400);
     EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
+
+// Guards against a daemon that aborts at its stop deadline because requests are still in flight: libmicrohttpd does not
+// stop with suspended connections.
+TEST_F(WorkerTest, WorkerWithRequestsInFlightEnds)
+{
+    EndlessServer server("HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    setRoutes({server.address()}, Distribution::Balanced);
+    Worker stopped(shared);
+    ASSERT_TRUE(stopped.listen({"127.0.0.1:0"}));
+    RawCaller streaming(stopped.address());
+    streaming.send(Get);
+    RawCaller uploading(stopped.address());
+    uploading.send("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: r-1\r\nContent-Length: 100\r\n\r\nx");
+    for (int n = 0; n < MaxPasses && (server.requests() == 0 || shared.inFlight().load() < 2); ++n) {
+        stopped.runOnce();
+    }
+    EXPECT_EQ(shared.inFlight().load(), 2);
+}
--- a/src/proxy/worker.cpp
+++ b/src/proxy/worker.cpp
@@ -55,6 +55,8 @@
 Worker::~Worker()
 {
     stop();
+    m_handler.dropAll();
+    m_listener.run();
     close(m_wakeFd);
     close(m_epollFd);
 }
