Move the delivery of watched objects out of the store client

An older version is now skipped only among the changes of a watch: in a list a lower version is an object created anew.

--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -4,7 +4,6 @@
 #include <deque>
 #include <map>
 #include <mutex>
-#include <set>
 
 #include <fmt/format.h>
 
@@ -13,6 +12,7 @@
 
 #include "objectstore/answers_p.h"
 #include "objectstore/events_p.h"
+#include "objectstore/objectdelivery_p.h"
 
 namespace Galenarock
 {
@@ -41,34 +41,6 @@
     std::unique_ptr<HttpCall> call;
     Instant queuedAt;
 };
-
-struct WatchState
-{
-    bool isEnabled = false;
-    bool needsList = true;
-    HttpCall *inFlight = nullptr;
-    std::uint64_t revision = 0;
-    /// Name after which the next page of a list starts; empty for the first page.
-    std::string listAfter;
-    /// Versions of the objects passed to the handler, by name.
-    std::map<std::string, std::uint64_t> deliveredVersions;
-    /// Names in the pages of the list in progress.
-    std::set<std::string> listedNames;
-    /// Revision of the first page of the list in progress. The watch continues from it: an object of an early page may
-    /// change while later pages are read.
-    std::uint64_t listRevision = 0;
-    /// The handler could not take an event of the page in progress.
-    bool hasLostEvent = false;
-    Instant nextAt;
-    Instant listedAt;
-
-    void restartList()
-    {
-        needsList = true;
-        listAfter.clear();
-        listedNames.clear();
-    }
-};
 }
 
 class StoreClient::Private
@@ -110,10 +82,6 @@
     void onObjects(const HttpCall &call);
     /// Passes the objects of a list or a watch to the handler and updates where the watch continues.
     void deliverPage(const HttpCall &call, ObjectPage &page, WatchState *watch);
-    void deliverObject(StoredObject &&object, WatchState *watch);
-    void deliverRemoval(const ObjectKey &key, WatchState *watch);
-    /// Reports objects as missing that were delivered before and that a complete list no longer contains.
-    void reportMissingObjects(const std::string &kind, WatchState &watch);
     void onVmList(const HttpCall &call);
     void reportMalformedResponse(const HttpCall &call, ErrorCode code, const std::string &detail);
     void dropUnsentCall(const HttpCall &call);
@@ -123,6 +91,7 @@
     const StoreClientSettings m_settings;
     Metrics &m_metrics;
     const Handler m_handler;
+    const ObjectDelivery m_delivery;
     CURLM *m_multi;
     std::mutex m_submitMutex; ///< Serializes the producers of m_ring; held for one push.
     Ring<std::shared_ptr<StoreRequest>> m_ring;
@@ -144,6 +113,7 @@
     , m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_handler(std::move(handler))
+    , m_delivery(m_handler)
     , m_multi(curl_multi_init())
     , m_ring(m_settings.ringCapacity)
     , m_budget(m_settings.budget)
@@ -491,32 +461,21 @@
     for (const auto &it : page.skipped) {
         reportMalformedResponse(call, it.code, it.place + ": " + it.message);
     }
-    for (auto &it : page.items) {
-        deliverObject(std::move(it), watch);
-    }
-    for (const auto &it : page.removed) {
-        deliverRemoval(it, watch);
-    }
     if (!watch) {
+        m_delivery.deliver(page);
         return;
     }
-    if (call.isList && watch->listAfter.empty()) {
-        watch->listRevision = page.revision;
-    }
-    if (call.isList && !page.nextAfter.empty() && !watch->hasLostEvent) {
-        watch->listAfter = page.nextAfter;
+    switch (m_delivery.deliver(kind, page, call.isList, *watch)) {
+    case PageEnd::MorePages:
         return;
-    }
-    if (call.isList && !watch->hasLostEvent) {
-        reportMissingObjects(kind, *watch);
-    }
-    const auto revision = call.isList ? watch->listRevision : page.revision;
-    if (watch->hasLostEvent) {
-        watch->hasLostEvent = false;
+    case PageEnd::EventLost:
         watch->restartList();
         watch->nextAt = MonotonicClock::now() + WatchRetryDelay;
         return;
+    case PageEnd::Complete:
+        break;
     }
+    const auto revision = call.isList ? watch->listRevision : page.revision;
     // A lower revision than before means that the platform responded from an outdated copy, so the kind is listed
     // again.
     if (revision < watch->revision) {
@@ -528,55 +487,6 @@
     m_handler(KindSyncedEvent{kind, revision});
 }
 
-/// Passes an object on unless a later version of it was delivered before.
-void StoreClient::Private::deliverObject(StoredObject &&object, WatchState *watch)
-{
-    if (!watch) {
-        m_handler(ObjectEvent{std::move(object), true});
-        return;
-    }
-    const auto name = object.key.name;
-    const auto version = object.version;
-    watch->listedNames.insert(name);
-    const auto delivered = watch->deliveredVersions.find(name);
-    if (delivered != watch->deliveredVersions.end() && version < delivered->second) {
-        return;
-    }
-    if (m_handler(ObjectEvent{std::move(object), true})) {
-        watch->deliveredVersions[name] = version;
-    } else {
-        watch->hasLostEvent = true;
-    }
-}
-
-void StoreClient::Private::deliverRemoval(const ObjectKey &key, WatchState *watch)
-{
-    const bool isTaken = m_handler(ObjectMissingEvent{key});
-    if (!watch) {
-        return;
-    }
-    if (isTaken) {
-        watch->deliveredVersions.erase(key.name);
-    } else {
-        watch->hasLostEvent = true;
-    }
-}
-
-void StoreClient::Private::reportMissingObjects(const std::string &kind, WatchState &watch)
-{
-    std::vector<std::string> missing;
-    for (const auto &[name, version] : watch.deliveredVersions) {
-        if (watch.listedNames.count(name) == 0) {
-            missing.push_back(name);
-        }
-    }
-    for (const auto &it : missing) {
-        deliverRemoval({kind, it}, &watch);
-    }
-    watch.listedNames.clear();
-    watch.listAfter.clear();
-}
-
 void StoreClient::Private::onVmList(const HttpCall &call)
 {
     m_isVmListInFlight = false;
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -329,3 +329,20 @@
     }
     EXPECT_EQ(versions, (std::vector<std::uint64_t>{5, 14, 15}));
 }
+
+// Guards against ignoring an object that was deleted and created anew under its name while the history was lost.
+TEST(StoreClient, objectCreatedAnewReplacesTheOlderOneAfterAList)
+{
+    std::atomic<int> lists{0};
+    Fixture fixture(
+        [&](const std::string &request) -> std::optional<std::string> {
+            if (request.find("/list/") == std::string::npos) {
+                return ScriptedServer::response(410, "");
+            }
+            return ScriptedServer::response(200, lists++ == 0 ? "a 7 10" : "a 1 12");
+        },
+        useScriptedPages);
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 7U);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 1U);
+}
