--- a/src/leases/tests/planningtest.cpp
+++ b/src/leases/tests/planningtest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 #include <fmt/format.h>
 
@@ -206,3 +207,31 @@
                                 [&](const LeaseServer &it) { return it.identity == slice.holder; }));
     }
 }
+
+// Every plan sees another random load, as the leader does from second to second. Guards against dividing ranges on
+// chance without end, and against a limit that only stops the balancing instead of making room for it.
+TEST(PlanningTest, RangesStayWithinTheLimitAndNeighboursAreGathered)
+{
+    constexpr std::size_t servers = 140;
+    constexpr std::size_t maxRanges = 375;
+    Service service(servers);
+    service.limits.maxRanges = maxRanges;
+    std::mt19937_64 random(5);
+    for (int n = 0; n < 60; ++n) {
+        service.load.positions.clear();
+        for (std::size_t request = 0; request < servers * static_cast<std::size_t>(Capacity) * 7 / 10; ++request) {
+            service.load.positions[random() & ~(MinRangeWidth - 1)] += 1;
+        }
+        service.plan();
+        ASSERT_LE(service.slices.size(), maxRanges);
+    }
+    auto &slices = service.slices;
+    std::sort(slices.begin(), slices.end(),
+              [](const PlannedSlice &a, const PlannedSlice &b) { return a.range.first < b.range.first; });
+    std::size_t joinable = 0;
+    for (std::size_t n = 0; n + 1 < slices.size(); ++n) {
+        joinable += slices[n].holder == slices[n + 1].holder ? 1 : 0;
+    }
+    EXPECT_GT(slices.size(), 2 * servers);
+    EXPECT_GT(joinable, slices.size() / 10);
+}
