Read, log and pass on the request rates that servers state

Change, no request is held back yet: the adapter reads Server-Limit; a table of stated rates with versions, which spreads by gossip and is fetched by a daemon that meets others; log line 210 for each change, 211 each 2 s for what was sent to such servers and how much of it was sent again. One copy of the cereal encoding of peer messages serves leases and limits.

--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -14,6 +14,7 @@
 #include <galenarock/replay.h>
 #include <galenarock/requestdialect.h>
 #include <galenarock/routing.h>
+#include <galenarock/sharedserverlimits.h>
 #include <galenarock/sharedsuspects.h>
 #include <galenarock/uncheckedpools.h>
 
@@ -28,6 +29,7 @@
     ProxyShared(Metrics &metrics, Identity self, PeerKey peerKey)
         : m_metrics(metrics)
         , m_peerKey(peerKey)
+        , m_serverLimits(metrics, self.name, randomNonce())
         , m_ledger(std::move(self))
     {
     }
@@ -141,6 +143,10 @@
     {
         return m_suspects;
     }
+    SharedServerLimits &serverLimits()
+    {
+        return m_serverLimits;
+    }
     /// Sets the writer of the request trace, which is used in trials; null when no trace is written. Call before
     /// the workers start.
     void setTrace(TraceWriter *trace)
@@ -165,6 +171,7 @@
 private:
     Metrics &m_metrics;
     const PeerKey m_peerKey;
+    SharedServerLimits m_serverLimits;
     LedgerNode m_ledger;
     SharedSuspects m_suspects;
     LoadCollector m_loads;
@@ -210,6 +217,8 @@
     std::string address() const;
     /// CPU time used by the workers, in seconds.
     double cpuSeconds() const;
+    /// Lets the workers look at once whether a request that waits can go on. Thread-safe after start().
+    void wake();
     /// Stops accepting connections; open connections and their requests continue.
     void quiesce();
     /// Closes callers' connections that have been without a request for 1 s.
--- a/include/galenarock/requestdialect.h
+++ b/include/galenarock/requestdialect.h
@@ -58,6 +58,8 @@
     /// Id of the request that the response answers; empty if the response has none.
     std::string id;
     std::optional<ReportedLoad> load;
+    /// Requests per second that the server takes from all daemons together; empty when it states none.
+    std::optional<double> requestsPerSecond;
     /// The response has a Content-Encoding, so its body is not the server's original bytes.
     bool isEncoded = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,6 +88,7 @@
     void setMembers(const std::vector<Member> &members);
     void broadcast(const SuspectReport &report);
     void receiveRequestMessage(const PeerEvent &event);
+    void receivePeerMessage(PeerEvent event);
     void addGauges();
 
     std::mutex m_membersMutex;
@@ -146,6 +147,9 @@
     hooks.requestMessage = [this](const PeerEvent &it) {
         receiveRequestMessage(it);
     };
+    hooks.fleetListed = [this] {
+        shared.serverLimits().setFleetListed();
+    };
     hooks.isStoreReachable = [this] {
         return store->isReachable();
     };
@@ -163,6 +167,7 @@
     shared.setLiveDaemons(static_cast<std::uint32_t>(live));
     store->setDaemonCount(static_cast<std::size_t>(live));
     peers->setMembers(members);
+    shared.serverLimits().setMembers(MonotonicClock::now(), members);
     const std::lock_guard lock(m_membersMutex);
     m_members = members;
 }
@@ -190,6 +195,17 @@
     }
 }
 
+/// Called on the thread of the peer transport. A request waits for a permit, so messages about permits do not wait for
+/// the control thread.
+void Gateway::Impl::receivePeerMessage(PeerEvent event)
+{
+    if (event.type >= RequestMessage::LimitUpdate && event.type <= RequestMessage::PermitReply) {
+        shared.serverLimits().receive(MonotonicClock::now(), event);
+    } else {
+        control->post(EventSource::Peers, std::move(event));
+    }
+}
+
 void Gateway::Impl::openStore()
 {
     StoreClientSettings client;
@@ -225,7 +241,7 @@
     return tryOr(
         [&]() -> Result<std::string> {
             BOOST_LEAF_ASSIGN(peers, PeerTransport::open(transport, metrics, [this](PeerEvent event) {
-                                  control->post(EventSource::Peers, std::move(event));
+                                  receivePeerMessage(std::move(event));
                               }));
             logEvent(Events::PeersOpened, "{}", peers->address());
             return peers->address();
@@ -248,6 +264,9 @@
                              [this](Instant now) {
                                  controlPlane->endBatch(now);
                              }});
+    // Messages have receivers only once the peer transport is open and has passed on members.
+    shared.serverLimits().setSendHook([this](const SendPeerAction &it) { peers->send(it); });
+    shared.serverLimits().setWakeHook([this] { proxy.wake(); });
     shared.suspects().setReportHook([this](const SuspectReport &it) { broadcast(it); });
     ProxySettings proxySettings{toString(settings.listen), settings.workers};
     proxySettings.headerBytes = CallerHeaderBytes;
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -273,6 +273,9 @@
                  object.key.name);
         return;
     }
+    if (entry.name == m_settings.self.name) {
+        m_hooks.fleetListed(); // this daemon lists the entries after it has written its own
+    }
     auto &vms = m_daemons.vms;
     const auto found = std::find_if(vms.begin(), vms.end(), [&](const VmEntry &it) { return it.name == entry.name; });
     if (found != vms.end() && *found == entry) {
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -29,6 +29,8 @@
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     std::function<std::vector<KeyLoad>()> takeLoads;
     std::function<void(const PeerEvent &)> requestMessage;
+    /// The list of all daemons has been read from the store.
+    std::function<void()> fleetListed;
     std::function<bool()> isStoreReachable;
     /// Opens the peer transport with the key that all daemons share. Returns its address; empty on failure.
     std::function<std::string(const std::string &hexKey)> openPeers;
--- a/src/leases/messages.cpp
+++ b/src/leases/messages.cpp
@@ -1,12 +1,10 @@
-#include <sstream>
-
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
 #include <galenarock/leases.h>
 
+#include "peer/message_p.h"
 #include "tablechange_p.h"
 
 namespace Galenarock
@@ -100,29 +98,6 @@
         archive(service, epoch, fromVersion, toVersion, slices);
     }
 };
-
-template<typename Message> std::string encodeMessage(const Message &message)
-{
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return stream.str();
-}
-
-template<typename Message> Result<Message> decodeMessage(const std::string &payload)
-{
-    std::istringstream stream(payload);
-    Message message;
-    try {
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(message);
-    } catch (const std::exception &it) {
-        return fail(ErrorCode::MalformedMessage, it.what());
-    }
-    return message;
-}
 }
 
 std::string encode(const LeaseNotice &notice)
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -15,6 +15,8 @@
 inline constexpr EventType RequestLeft{207, Severity::Info, "request-left"};
 inline constexpr EventType WorkerLagged{208, Severity::Warning, "worker-lagged"};
 inline constexpr EventType RequestSentLate{209, Severity::Info, "request-sent-late"};
+inline constexpr EventType ServerRateChanged{210, Severity::Info, "server-rate-changed"};
+inline constexpr EventType ServerRateSummary{211, Severity::Info, "server-rate-summary"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -59,6 +59,13 @@
     return total;
 }
 
+void Proxy::wake()
+{
+    for (const auto &it : m_impl->workers) {
+        it->wake();
+    }
+}
+
 void Proxy::quiesce()
 {
     for (const auto &it : m_impl->workers) {
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -64,6 +64,9 @@
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
     void startStreaming(const Pending &request);
+    /// Records the request rate that a response states. That it states none counts only in an answer of the addressed
+    /// server, not in a refusal or a defective response.
+    void observeRate(const PendingRequest &request, unsigned status, const ResponseInfo &info);
     /// Random number from 0 to 1, 1 excluded.
     double uniform();
     Refusal routedRefusal(const PendingRequest &request, Refusal refusal);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -232,6 +232,7 @@
     // connections from others.
     request->keepsConnection = traffic.observations.inFlight(index) < traffic.observations.share().connections;
     request->handle = traffic.observations.started(m_now, index);
+    m_shared.serverLimits().countSent(server.identity, request->plan->attempts() > 0);
     const auto age = MonotonicClock::now() - request->arrivedAt;
     if (age >= NotableAge) {
         logEvent(Events::RequestSentLate, "request {}: attempt {} to {} {} ms after it was read", request->requestId,
@@ -314,6 +315,7 @@
     const auto info =
         m_shared.dialect()->readResponse(status, [&](const char *name) { return fieldOf(headers, name); });
     request->load = info.load;
+    observeRate(*request, status, info);
     if (info.isNotRun) {
         request->serverRefusal = info.reason;
         return true;
@@ -409,6 +411,7 @@
         }
     }
     m_retriedSnapshot = snapshot;
+    m_shared.serverLimits().step(m_now);
     if (m_now >= m_nextLoad) {
         m_nextLoad = m_now + KeyLoadInterval;
         reportKeyLoads();
--- a/src/proxy/worker_p.h
+++ b/src/proxy/worker_p.h
@@ -50,12 +50,12 @@
     }
 
     // Thread-safe.
+    void wake();
     void quiesce();
     void closeIdle();
     void stop();
 
 private:
-    void wake();
     void countMalformed(std::string_view text);
     int waitMs(Instant now) const;
     void handleWake();
--- /dev/null
+++ b/src/requests/limitmessages.cpp
@@ -0,0 +1,133 @@
+#include <cmath>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <galenarock/serverlimits.h>
+
+#include "peer/message_p.h"
+
+namespace Galenarock
+{
+
+namespace
+{
+/// Longest delay in a message; larger numbers are malformed.
+constexpr std::int64_t MaxDelayMs = 60'000;
+
+/// Wire formats. Kept separate from the types in memory, so that a change of those types does not change the format.
+struct WireLimit
+{
+    std::string name;
+    std::uint64_t boot = 0;
+    double perSecond = 0;
+    std::uint32_t version = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(name, boot, perSecond, version);
+    }
+};
+
+struct WireRequest
+{
+    std::uint64_t number = 0;
+    WireLimit limit;
+    std::uint32_t priority = 0;
+    std::int64_t maxDelayMs = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(number, limit, priority, maxDelayMs);
+    }
+};
+
+struct WireReply
+{
+    std::uint64_t number = 0;
+    WireLimit limit;
+    bool isGranted = false;
+    std::int64_t delayMs = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(number, limit, isGranted, delayMs);
+    }
+};
+
+WireLimit toWire(const ServerLimit &limit)
+{
+    return {limit.server.name, limit.server.boot, limit.perSecond, limit.version};
+}
+
+ServerLimit fromWire(WireLimit wire)
+{
+    return {{std::move(wire.name), wire.boot}, wire.perSecond, wire.version};
+}
+
+bool isValid(const WireLimit &limit)
+{
+    return std::isfinite(limit.perSecond) && limit.perSecond >= 0 && !limit.name.empty();
+}
+
+bool isValidDelay(std::int64_t delayMs)
+{
+    return delayMs >= 0 && delayMs <= MaxDelayMs;
+}
+
+std::int64_t toMs(Duration duration)
+{
+    // Rounded up, so that a caller that waits exactly this long is not early.
+    return std::chrono::ceil<milliseconds>(duration).count();
+}
+}
+
+std::string encode(const std::vector<ServerLimit> &limits)
+{
+    std::vector<WireLimit> wire;
+    for (const auto &it : limits) {
+        wire.push_back(toWire(it));
+    }
+    return encodeMessage(wire);
+}
+
+std::string encode(const PermitRequest &request)
+{
+    return encodeMessage(WireRequest{request.number, toWire(request.limit), request.priority, toMs(request.maxDelay)});
+}
+
+std::string encode(const PermitReply &reply)
+{
+    return encodeMessage(
+        WireReply{reply.number, toWire(reply.limit), reply.permit.isGranted, toMs(reply.permit.delay)});
+}
+
+Result<std::vector<ServerLimit>> decodeServerLimits(const std::string &payload)
+{
+    BOOST_LEAF_AUTO(wire, decodeMessage<std::vector<WireLimit>>(payload));
+    std::vector<ServerLimit> limits;
+    for (auto &it : wire) {
+        if (!isValid(it)) {
+            return fail(ErrorCode::MalformedMessage, "rate of a server");
+        }
+        limits.push_back(fromWire(std::move(it)));
+    }
+    return limits;
+}
+
+Result<PermitRequest> decodePermitRequest(const std::string &payload)
+{
+    BOOST_LEAF_AUTO(wire, decodeMessage<WireRequest>(payload));
+    if (!isValid(wire.limit) || !isValidDelay(wire.maxDelayMs)) {
+        return fail(ErrorCode::MalformedMessage, "permit request");
+    }
+    return PermitRequest{wire.number, fromWire(std::move(wire.limit)), wire.priority, milliseconds(wire.maxDelayMs)};
+}
+
+Result<PermitReply> decodePermitReply(const std::string &payload)
+{
+    BOOST_LEAF_AUTO(wire, decodeMessage<WireReply>(payload));
+    if (!isValid(wire.limit) || !isValidDelay(wire.delayMs)) {
+        return fail(ErrorCode::MalformedMessage, "permit reply");
+    }
+    return PermitReply{wire.number, fromWire(std::move(wire.limit)), {wire.isGranted, milliseconds(wire.delayMs)}};
+}
+
+}
