Send a server that states a rate no more than it takes

Cause: the rate that a server states was read nowhere; each daemon sent by demand, service time and queue. Class of fault: a statement about the room of a server that holds for all daemons together, but that each daemon could only keep for itself. Change: before a request goes to a server that states a rate, the daemon asks for a permit. Beyond the rate a request goes to another server, or is refused at once with the time at which there is room (reason server-rate). The fixture of WorkerTest built an invalid assignment for keyed services, so that its keyed test never had an owner; it has now.

--- a/include/galenarock/requests.h
+++ b/include/galenarock/requests.h
@@ -56,6 +56,7 @@
     CrashSuspect,
     StoppingVm,
     RingFull,
+    ServerRate,
     InternalError,
 };
 
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -94,6 +94,17 @@
     /// Bytes received of a body that is not passed on, because the server refused the request or its response is
     /// defective.
     std::size_t discardedBytes = 0;
+    /// Permit for a server that states a request rate: the request may be sent from `from` to `until`.
+    struct ServerPermit
+    {
+        Identity server;
+        Instant from;
+        Instant until;
+    };
+    std::optional<ServerPermit> permit;
+    /// Refusals by permit so far, and the shortest time until a server may take the request.
+    std::uint32_t permitRefusals = 0;
+    Duration permitWait = Duration::max();
     /// Reason that the server gave for refusing the request; Reason::None for a regular response.
     Reason serverRefusal = Reason::None;
     /// The server, or the ledger owner of the request id, reported that the request may have run.
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -64,6 +64,17 @@
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
     void startStreaming(const Pending &request);
+    // servers that state a request rate (permits.cpp)
+    /// Whether the request may be sent to the server now. Otherwise it waits for a permit, goes to another server, or
+    /// is refused.
+    bool hasPermit(const Pending &request, ServerIndex server);
+    /// Acts on an answer about a permit; true if the request may be sent now.
+    bool takePermit(const Pending &request, const Identity &server, const Permit &permit);
+    void refuseByRate(const Pending &request);
+    /// Longest time that the request can wait for its turn at a server and still be answered in time.
+    Duration longestPermitWait(const PendingRequest &request, ServerIndex server) const;
+    /// Continues the requests whose questions for a permit have been answered.
+    void continuePermitted();
     /// Records the request rate that a response states. That it states none counts only in an answer of the addressed
     /// server, not in a refusal or a defective response.
     void observeRate(const PendingRequest &request, unsigned status, const ResponseInfo &info);
@@ -140,6 +151,13 @@
     std::vector<DelayedAttempt> m_delayed;
     /// Requests that wait until their key has an owner.
     std::vector<Pending> m_waitingForOwner;
+    struct PermitQuestion
+    {
+        std::uint64_t number;
+        Identity server;
+        Pending request;
+    };
+    std::vector<PermitQuestion> m_waitingForPermit;
     /// Snapshot as of the last run; a newer one triggers a retry of m_waitingForOwner.
     std::shared_ptr<const RoutingSnapshot> m_retriedSnapshot;
     std::mt19937_64 m_random;
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -187,12 +187,16 @@
         return;
     }
     traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
-    const auto owner = traffic.choose(m_now, *request);
+    const auto owner = traffic.choose(m_now, *request, &m_shared.serverLimits());
     const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
     if (isKeyed && owner.reason != Reason::None) {
         waitForOwner(request, owner.reason);
         return;
     }
+    if (owner.reason == Reason::ServerRate) {
+        refuseByRate(request);
+        return;
+    }
     if (owner.reason != Reason::None) {
         refuse(request, routedRefusal(*request, {owner.reason, Outcome::NotRun, {}, 0}));
         return;
@@ -215,6 +219,9 @@
         abandon(request);
         return;
     }
+    if (!hasPermit(request, owner.server)) {
+        return;
+    }
     request->outstandingAtStart = view.outstanding;
     if (isKeyed) {
         traffic.unownedSince.erase(request->hash);
@@ -412,6 +419,7 @@
     }
     m_retriedSnapshot = snapshot;
     m_shared.serverLimits().step(m_now);
+    continuePermitted();
     if (m_now >= m_nextLoad) {
         m_nextLoad = m_now + KeyLoadInterval;
         reportKeyLoads();
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -78,14 +78,39 @@
     observations.setServers(now, route->servers(), daemonShare(document.pool, liveWorkers));
 }
 
-Owner ServiceTraffic::choose(Instant now, const PendingRequest &request)
+Owner ServiceTraffic::choose(Instant now, const PendingRequest &request, SharedServerLimits *limits)
 {
     if (route->document().distribution == Distribution::Keyed) {
         return route->owner(request.hash, now);
     }
-    const auto server = chooseServer(m_policy, observations.views(now), request.plan->triedServers(), m_random(),
-                                     targetDelaySeconds(request));
-    return {server, Token{}, server == noServer ? Reason::NoServer : Reason::None};
+    const auto &tried = request.plan->triedServers();
+    const auto chooseFrom = [&](const std::vector<ServerView> &views) {
+        return chooseServer(m_policy, views, tried, m_random(), targetDelaySeconds(request));
+    };
+    const auto &views = observations.views(now);
+    if (!limits || !limits->hasLimits()) {
+        const auto server = chooseFrom(views);
+        return {server, Token{}, server == noServer ? Reason::NoServer : Reason::None};
+    }
+    auto open = views;
+    const bool isAnyLeftOut = leaveOutByRate(now, request, *limits, open);
+    const auto server = chooseFrom(open);
+    const auto reason = isAnyLeftOut ? Reason::ServerRate : Reason::NoServer;
+    return {server, Token{}, server == noServer ? reason : Reason::None};
+}
+
+bool ServiceTraffic::leaveOutByRate(Instant now, const PendingRequest &request, SharedServerLimits &limits,
+                                    std::vector<ServerView> &views) const
+{
+    bool isAnyLeftOut = false;
+    for (auto &it : views) {
+        const auto &identity = route->servers()[it.server].identity;
+        if (it.eligible && limits.refusedUntil(identity, request.rule->priority) > now) {
+            it.eligible = false;
+            isAnyLeftOut = true;
+        }
+    }
+    return isAnyLeftOut;
 }
 
 bool ServiceTraffic::hasRoom(ServerIndex server) const
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -14,6 +14,7 @@
 #include <galenarock/retry.h>
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
+#include <galenarock/sharedserverlimits.h>
 
 #include "pendingrequest_p.h"
 
@@ -34,7 +35,9 @@
 
     /// Server for one attempt: the owner of the key for a keyed service, otherwise chosen by the policy. The result has
     /// a reason other than None when there is no such server now.
-    Owner choose(Instant now, const PendingRequest &request);
+    /// Servers whose stated rate is used up now are left out if `limits` is given; when no other one is left, the
+    /// reason is ServerRate.
+    Owner choose(Instant now, const PendingRequest &request, SharedServerLimits *limits = nullptr);
     /// Number of requests that may run concurrently at `owner`, or at all servers if it is noServer.
     std::uint32_t concurrency(Instant now, ServerIndex owner);
     /// Whether this worker may start another attempt at `server`.
@@ -70,6 +73,10 @@
     const ServiceRoute *route = nullptr;
 
 private:
+    /// Marks the servers as not eligible whose stated rate is used up for requests of this priority.
+    bool leaveOutByRate(Instant now, const PendingRequest &request, SharedServerLimits &limits,
+                        std::vector<ServerView> &views) const;
+
     std::uint32_t m_liveWorkers = 1;
     ServerChoicePolicy m_policy;
     /// Retry limits of the whole deployment; the allowance is divided among the live workers, 0 means none.
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -39,6 +39,10 @@
         ResponseInfo info;
         info.id = std::string(header("Request"));
         info.isNotRun = status == 503;
+        const auto rate = header("Rate");
+        if (!rate.empty()) {
+            info.requestsPerSecond = std::stod(std::string(rate));
+        }
         info.reason = Reason::ServerShed;
         return info;
     };
@@ -124,6 +128,7 @@
         Assignment assignment;
         assignment.service = "shop";
         assignment.epoch = ++epoch;
+        assignment.nextSequence = 2;
         for (std::size_t n = 0; n < addresses.size(); ++n) {
             const auto name = fmt::format("shop-{}", n);
             input.vms.vms.push_back({name, VmRole::Backend, "shop", "rioja", addresses[n], "", VmState::Live});
@@ -158,6 +163,15 @@
         return metrics.counter("galenarock_attempts_total", "service=\"shop\"").value();
     }
 
+    /// Sends one request on a connection of its own and returns what its caller got; `n` is its key.
+    std::string answerToRequest(int n)
+    {
+        RawCaller caller(worker.address());
+        caller.send(fmt::format("GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: r-1\r\nKey: {}\r\n\r\n", n));
+        EXPECT_TRUE(runUntil([&] { return caller.received().find("\r\n\r\n") != std::string::npos; }));
+        return caller.received();
+    }
+
     static void stall()
     {
         timespec time{0, Stall.count()};
@@ -329,3 +343,56 @@
     }
     EXPECT_EQ(shared.inFlight().load(), 2);
 }
+
+// Guards against sending a server of a keyed service more requests than it states that it takes from all daemons. The
+// rate is so low that no second request fits into the test.
+TEST_F(WorkerTest, OwnerThatStatesARateGetsNoMore)
+{
+    RawServer server([](int, const std::string &) {
+        return "HTTP/1.1 200 OK\r\nRequest: r-1\r\nRate: 0.1\r\nContent-Length: 2\r\n\r\nok";
+    });
+    setRoutes({server.address()}, Distribution::Keyed);
+    listen();
+    EXPECT_EQ(answerToRequest(0).compare(0, 12, "HTTP/1.1 200"), 0);
+    for (int n = 1; n < 6; ++n) {
+        const auto answer = answerToRequest(n);
+        EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 503"), 0) << answer;
+        EXPECT_NE(answer.find("server-rate"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("not-run"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(server.requests(), 1);
+}
+
+// Guards against refusing requests that another server of the service takes, and against sending them to the one that
+// takes no more. That one is known to be fast, so it would be chosen for all requests.
+TEST_F(WorkerTest, RequestsBeyondAStatedRateGoToAnotherServer)
+{
+    RawServer limited([](int, const std::string &) {
+        return "HTTP/1.1 200 OK\r\nRequest: r-1\r\nRate: 0.1\r\nContent-Length: 2\r\n\r\nok";
+    });
+    RawServer open([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({limited.address()}, Distribution::Balanced);
+    listen();
+    EXPECT_EQ(answerToRequest(0).compare(0, 12, "HTTP/1.1 200"), 0);
+    setRoutes({limited.address(), open.address()}, Distribution::Balanced);
+    constexpr int requests = 12;
+    for (int n = 0; n < requests; ++n) {
+        EXPECT_EQ(answerToRequest(n).compare(0, 12, "HTTP/1.1 200"), 0);
+    }
+    EXPECT_EQ(limited.requests(), 1);
+    EXPECT_EQ(open.requests(), requests);
+}
+
+// Guards against holding requests back from a server that no longer states a rate.
+TEST_F(WorkerTest, ServerThatStatesNoRateAnyMoreGetsAllRequests)
+{
+    RawServer server([](int n, const std::string &) {
+        return fmt::format("HTTP/1.1 200 OK\r\nRequest: r-1\r\n{}Content-Length: 2\r\n\r\nok",
+                           n == 0 ? "Rate: 50\r\n" : "");
+    });
+    setRoutes({server.address()}, Distribution::Keyed);
+    listen();
+    for (int n = 0; n < 30; ++n) {
+        EXPECT_EQ(answerToRequest(n).compare(0, 12, "HTTP/1.1 200"), 0);
+    }
+}
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -55,6 +55,7 @@
                "the same request was in flight when two backend servers crashed"},
     ReasonInfo{Reason::StoppingVm, "stopping", 503, NotRun, "this VM is stopping"},
     ReasonInfo{Reason::RingFull, "ring-full", 503, NotRun, "an internal queue is full"},
+    ReasonInfo{Reason::ServerRate, "server-rate", 503, NotRun, "the request rate that the server states is used up"},
     ReasonInfo{Reason::InternalError, "internal-error", 500, Unknown, "internal error"},
 };
 static_assert(ReasonTable.size() == static_cast<std::size_t>(Reason::InternalError) + 1);
