Place keys by the rates that servers state

Cause: the leader's plan takes slots over service time as a server's capacity. A server that states half of its usual rate answers as fast as before, so its keys stay. Test: PlanningTest.KeysOfServersThatStateALowRateMoveToOthers fails without it (8.0 requests/s stay where 2 are stated).

--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -217,6 +217,8 @@
     std::map<KeyHash, double> positions;
     /// Mean response time of each server without queueing, in seconds.
     std::map<Identity, double> serviceSeconds;
+    /// Requests per second that servers state as their limit; only servers that state one.
+    std::map<Identity, double> requestRates;
 };
 
 /// Bounds of one plan.
@@ -257,6 +259,8 @@
     LeaseActions setServers(Instant now, std::vector<LeaseServer> servers);
     /// Load measured by this daemon; sent to the leader, or used directly when this daemon is the leader.
     LeaseActions addLoad(Instant now, const KeyLoad &load);
+    /// Requests per second that servers state as their limit. The next plan moves keys accordingly.
+    void setRequestRates(std::map<Identity, double> rates);
 
     bool isLeader() const;
     /// After a StopEvent: leadership was handed over, or there was none to hand over.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -147,6 +147,9 @@
     hooks.requestMessage = [this](const PeerEvent &it) {
         receiveRequestMessage(it);
     };
+    hooks.requestRates = [this] {
+        return shared.serverLimits().rates();
+    };
     hooks.fleetListed = [this] {
         shared.serverLimits().setFleetListed();
     };
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -348,6 +348,10 @@
         return;
     }
     m_nextLoadAt = now + LoadInterval;
+    const auto rates = m_hooks.requestRates();
+    for (auto &[service, controller] : m_leases) {
+        controller.setRequestRates(rates);
+    }
     for (const auto &it : m_hooks.takeLoads()) {
         const auto found = m_leases.find(it.service);
         if (found != m_leases.end()) {
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -29,6 +29,8 @@
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     std::function<std::vector<KeyLoad>()> takeLoads;
     std::function<void(const PeerEvent &)> requestMessage;
+    /// Requests per second that servers state as their limit.
+    std::function<std::map<Identity, double>()> requestRates;
     /// The list of all daemons has been read from the store.
     std::function<void()> fleetListed;
     std::function<bool()> isStoreReachable;
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -355,6 +355,11 @@
     return m_data->end();
 }
 
+void LeaseController::setRequestRates(std::map<Identity, double> rates)
+{
+    m_data->m_requestRates = std::move(rates);
+}
+
 bool LeaseController::isLeader() const
 {
     return m_data->m_role == LeaseRole::Leader;
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -41,6 +41,8 @@
     bool m_isHandedOver = false;
     Assignment m_table;
     LeaseSlices m_slices;
+    /// Requests per second that servers state as their limit.
+    std::map<Identity, double> m_requestRates;
 
 private:
     // events
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -36,6 +36,8 @@
 constexpr double OverloadedKeyCapacityRatio = 0.7;
 /// Assumed service time, in seconds, while no server of the service has a measured one.
 constexpr double UnknownServiceSeconds = 0.1;
+/// Capacity of a server that states an even lower rate, in requests per second.
+constexpr double SlowestRate = 0.1;
 /// Maximum number of parts into which a range of a leaving or lost server is divided.
 constexpr std::size_t MaxPartsPerRange = 3;
 /// Such a range is divided only when it is wider than this fraction of one server's even share of the key space.
@@ -95,7 +97,7 @@
             if (it.leaving) {
                 continue;
             }
-            m_servers.push_back({&it, it.slots / serviceSeconds(it.identity), 0});
+            m_servers.push_back({&it, capacity(it), 0});
         }
         for (const auto &it : m_slices) {
             if (auto *server = findServer(it.holder)) {
@@ -127,6 +129,14 @@
     }
 
 private:
+    /// Requests per second that the server can answer, or takes if it states a lower rate.
+    double capacity(const LeaseServer &server) const
+    {
+        const double capacity = server.slots / serviceSeconds(server.identity);
+        const auto rate = m_load.requestRates.find(server.identity);
+        return rate == m_load.requestRates.end() ? capacity : std::min(capacity, std::max(rate->second, SlowestRate));
+    }
+
     double serviceSeconds(const Identity &server) const
     {
         const auto measured = m_load.serviceSeconds.find(server);
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -282,6 +282,7 @@
 LeaseLoad LeaseController::Private::currentLoad()
 {
     LeaseLoad load;
+    load.requestRates = m_requestRates;
     refreshPositions();
     for (const auto &slice : m_slices.all()) {
         const auto begin = m_positions.lower_bound(slice.range.first);
--- a/src/leases/tests/planningtest.cpp
+++ b/src/leases/tests/planningtest.cpp
@@ -235,3 +235,27 @@
     EXPECT_GT(slices.size(), 2 * servers);
     EXPECT_GT(joinable, slices.size() / 10);
 }
+
+// Half of the servers state that they take a quarter of what they get, although they answer as fast as before. Guards
+// against leaving their keys with them, so that most requests for these keys must be refused.
+TEST(PlanningTest, KeysOfServersThatStateALowRateMoveToOthers)
+{
+    Service service(16);
+    service.addAdjacentKeys(0, 65'536, 0.4 * 16 * Capacity);
+    constexpr double rate = 0.1 * Capacity;
+    for (std::size_t n = 0; n < 16; n += 2) {
+        service.load.requestRates[service.servers[n].identity] = rate;
+    }
+    constexpr int plansWithinThreeSeconds = 10;
+    for (int n = 0; n < plansWithinThreeSeconds; ++n) {
+        service.plan();
+    }
+    std::map<Identity, double> loads;
+    for (const auto &it : service.slices) {
+        loads[it.holder] += service.loadOf(it.range);
+    }
+    for (const auto &[server, load] : loads) {
+        const bool isLimited = service.load.requestRates.count(server) > 0;
+        EXPECT_LE(load, (isLimited ? 1.3 * rate : Capacity)) << server.name;
+    }
+}
