Read the store's era and log that the store continues from an older copy

Change, no decision yet: the store client reads the era of each response (the header's name is part of the dialect), passes a StoreEraEvent on before the first event of an era, and logs 608 when it rises; objects carry the era in which they were read; the lease controller logs 343 when it ignores a record of a lower version.

--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -232,9 +232,16 @@
 {
 };
 
+/// The store's era, which rises each time the store continues from an older copy of itself: what was written since is
+/// lost, and versions are given out again. Comes before the first event of the era, also of the first one.
+struct StoreEraEvent
+{
+    std::uint64_t era = 0;
+};
+
 using ControlEvent =
     std::variant<TickEvent, VmListEvent, ObjectEvent, ObjectMissingEvent, WriteResultEvent, GrantReplyEvent, PeerEvent,
-                 MembersEvent, StopEvent, KindSyncedEvent, LeaseReplyEvent>;
+                 MembersEvent, StopEvent, KindSyncedEvent, LeaseReplyEvent, StoreEraEvent>;
 
 struct ReadObjectAction
 {
--- a/include/galenarock/platform.h
+++ b/include/galenarock/platform.h
@@ -37,17 +37,19 @@
     }
 };
 
-/// An object as read; `version` only grows, `writer` is the nonce of the write that made this version.
+/// An object as read; `version` only grows within an era, `writer` is the nonce of the write that made this version.
 struct StoredObject
 {
     ObjectKey key;
     std::uint64_t version = 0;
     std::uint64_t writer = 0;
     nlohmann::json value;
+    /// Era of the store in which it was read; 0 for a store without eras.
+    std::uint64_t era = 0;
 
     friend bool operator==(const StoredObject &a, const StoredObject &b)
     {
-        return a.key == b.key && a.version == b.version && a.writer == b.writer && a.value == b.value;
+        return a.key == b.key && a.version == b.version && a.writer == b.writer && a.value == b.value && a.era == b.era;
     }
 };
 
--- a/include/galenarock/storedialect.h
+++ b/include/galenarock/storedialect.h
@@ -51,6 +51,9 @@
     /// Create, conditional replace or removal.
     std::function<StoreCall(const WriteObjectAction &write)> write;
 
+    /// Name of the response header with the store's era; empty for a store without eras.
+    std::string eraHeader;
+
     std::function<Result<ObjectPage>(const std::string &kind, const std::string &body)> decodeList;
     std::function<Result<ObjectPage>(const std::string &kind, const std::string &body)> decodeWatch;
     std::function<Result<StoredObject>(const ObjectKey &key, const std::string &body)> decodeObject;
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -105,7 +105,13 @@
 
 void LeaseController::Private::onRecord(const ObjectEvent &event)
 {
-    if (!(event.object.key == recordKey(m_settings.service)) || event.object.version < m_recordVersion) {
+    if (!(event.object.key == recordKey(m_settings.service))) {
+        return;
+    }
+    if (event.object.version < m_recordVersion) {
+        decide(LeaseEvents::RecordRestored, {},
+               fmt::format("version {} of era {} is ignored, version {} is known", event.object.version,
+                           event.object.era, m_recordVersion));
         return;
     }
     adopt(event.object);
--- a/src/leases/events_p.h
+++ b/src/leases/events_p.h
@@ -17,5 +17,6 @@
 inline constexpr EventType Paused{339, Severity::Warning, "lease-leader-paused"};
 inline constexpr EventType LeadershipTimedOut{340, Severity::Error, "lease-authority-ended"};
 inline constexpr EventType MessageMalformed{341, Severity::Warning, "lease-message-malformed"};
+inline constexpr EventType RecordRestored{343, Severity::Warning, "lease-record-restored"};
 inline constexpr EventType LeaderSummary{342, Severity::Info, "lease-leader-summary"};
 }
--- a/src/objectstore/answers.cpp
+++ b/src/objectstore/answers.cpp
@@ -61,6 +61,7 @@
     } else if (call.status == 503 || (call.status >= 400 && call.status < 500 && call.status != 408)) {
         event.status = WriteStatus::NotSent;
     }
+    event.current.era = call.era;
     return event;
 }
 
--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -1,6 +1,9 @@
 #include "objectstore/httpcall_p.h"
 
 #include <array>
+#include <charconv>
+
+#include <strings.h>
 
 #include <fmt/format.h>
 
@@ -54,6 +57,11 @@
     curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &HttpCall::onData);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+    m_eraHeader = settings.dialect.eraHeader;
+    if (!m_eraHeader.empty()) {
+        curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpCall::onHeader);
+        curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
+    }
     if (storeCall.method != "GET") {
         curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, storeCall.method.c_str());
     }
@@ -98,6 +106,20 @@
     return size * count;
 }
 
+std::size_t HttpCall::onHeader(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto &call = *static_cast<HttpCall *>(self);
+    const std::string_view line(data, size * count);
+    const auto &name = call.m_eraHeader;
+    const bool isEra = line.size() > name.size() && line[name.size()] == ':'
+        && strncasecmp(line.data(), name.data(), name.size()) == 0;
+    if (isEra) {
+        const auto value = line.substr(std::min(line.size(), line.find_first_not_of(" \t", name.size() + 1)));
+        std::from_chars(value.data(), value.data() + value.size(), call.era);
+    }
+    return size * count;
+}
+
 std::unique_ptr<HttpCall> makeCall(const StoreClientSettings &settings, const StoreRequest &request)
 {
     const auto &dialect = settings.dialect;
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -52,6 +52,8 @@
     CURLcode code = CURLE_OK;
     long status = 0;
     std::string response;
+    /// Era of the store that the response states; 0 when it states none.
+    std::uint64_t era = 0;
 
     /// True when a response arrived whose status is neither 503 nor 429.
     bool isAnswered() const
@@ -66,8 +68,10 @@
 private:
     static int beforeSend(void *self, char *, char *, int, int);
     static std::size_t onData(char *data, std::size_t size, std::size_t count, void *self);
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
 
     CURL *m_easy;
+    std::string m_eraHeader;
     curl_slist *m_headers = nullptr;
     std::string m_body;
 };
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -86,6 +86,7 @@
     void reportMalformedResponse(const HttpCall &call, ErrorCode code, const std::string &detail);
     void dropUnsentCall(const HttpCall &call);
     void updateCallMetrics(const HttpCall &call);
+    void beginEra(std::uint64_t era);
     void reportReachability(Instant now, const HttpCall &call);
 
     const StoreClientSettings m_settings;
@@ -101,6 +102,8 @@
     std::array<std::deque<PendingCall>, 4> m_queues;
     std::map<CURL *, std::unique_ptr<HttpCall>> m_calls;
     std::map<std::string, WatchState> m_watches;
+    /// Highest era that a response stated; 0 before the first one.
+    std::uint64_t m_era = 0;
     bool m_isVmListInFlight = false;
     Instant m_nextVmListAt;
     std::string m_vmListText;
@@ -359,6 +362,9 @@
 {
     reportReachability(MonotonicClock::now(), call);
     updateCallMetrics(call);
+    if (call.era > m_era) {
+        beginEra(call.era);
+    }
     switch (call.kind) {
     case CallKind::Read:
         onRead(call);
@@ -376,6 +382,15 @@
     }
 }
 
+void StoreClient::Private::beginEra(std::uint64_t era)
+{
+    if (m_era != 0) {
+        logEvent(Events::PlatformRestored, "the store continues from an older copy: era {}, before {}", era, m_era);
+    }
+    m_era = era;
+    m_handler(StoreEraEvent{era});
+}
+
 void StoreClient::Private::reportMalformedResponse(const HttpCall &call, ErrorCode code, const std::string &detail)
 {
     m_metrics.counter("galenarock_platform_malformed_total").add();
@@ -394,6 +409,7 @@
     tryOr(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(object, m_settings.dialect.decodeObject(call.key, call.response));
+            object.era = call.era;
             m_handler(ObjectEvent{std::move(object), true});
             return {};
         },
@@ -458,6 +474,9 @@
 void StoreClient::Private::deliverPage(const HttpCall &call, ObjectPage &page, WatchState *watch)
 {
     const auto &kind = call.key.kind;
+    for (auto &it : page.items) {
+        it.era = call.era;
+    }
     for (const auto &it : page.skipped) {
         reportMalformedResponse(call, it.code, it.place + ": " + it.message);
     }
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -116,6 +116,9 @@
     void on(const KindSyncedEvent &)
     {
     }
+    void on(const StoreEraEvent &)
+    {
+    }
     void on(const LeaseReplyEvent &)
     {
     }
--- a/src/replay/serialize_p.h
+++ b/src/replay/serialize_p.h
@@ -152,6 +152,11 @@
     archive(it.kind, it.revision);
 }
 
+template<class Archive> void serialize(Archive &archive, StoreEraEvent &it)
+{
+    archive(it.era);
+}
+
 template<class Archive> void save(Archive &archive, const LeaseReplyEvent &it)
 {
     const auto &call = it.call;
