List watched kinds again when the store continues from an older copy

Cause: a watch went on from a revision of the lost state. The store gives revisions out again, so such a watch skips the changes in between once the store has passed it, and objects with a lower version than before were ignored as outdated. Change: a response of a new era lists all watched kinds anew, forgets versions but not names, and ends watches in flight. Responses of an earlier era, and continued lists and watches across a change of era, are dropped; a write's outcome is then unknown. An era event that finds the ring full is repeated.

--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -42,6 +42,8 @@
     const ObjectKey key;
     /// Watches only: the call lists the kind instead of waiting for a change.
     bool isList = false;
+    /// Watches only: the call continues a list or a watch, so its response means something only in the same era.
+    bool continuesEarlierCall = false;
     /// Writes only.
     WriteObjectAction write;
     /// Set when libcurl is about to send the request on an open connection.
--- a/src/objectstore/objectdelivery.cpp
+++ b/src/objectstore/objectdelivery.cpp
@@ -13,6 +13,15 @@
     listedNames.clear();
 }
 
+void WatchState::restartEra()
+{
+    restartList();
+    revision = 0;
+    for (auto &[name, version] : deliveredVersions) {
+        version = 0; // the name still tells which objects are missing from the list
+    }
+}
+
 ObjectDelivery::ObjectDelivery(Handler handler)
     : m_handler(std::move(handler))
 {
--- a/src/objectstore/objectdelivery_p.h
+++ b/src/objectstore/objectdelivery_p.h
@@ -34,6 +34,8 @@
     Instant listedAt;
 
     void restartList();
+    /// For a store that continues from an older copy: lists the kind again, whose versions begin anew.
+    void restartEra();
 };
 
 enum class PageEnd : std::uint8_t
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -86,7 +86,9 @@
     void reportMalformedResponse(const HttpCall &call, ErrorCode code, const std::string &detail);
     void dropUnsentCall(const HttpCall &call);
     void updateCallMetrics(const HttpCall &call);
-    void beginEra(std::uint64_t era);
+    void beginEra(std::uint64_t era, const HttpCall &finished);
+    void dropResponse(const HttpCall &call);
+    void repeatEraIfLost();
     void reportReachability(Instant now, const HttpCall &call);
 
     const StoreClientSettings m_settings;
@@ -104,6 +106,8 @@
     std::map<std::string, WatchState> m_watches;
     /// Highest era that a response stated; 0 before the first one.
     std::uint64_t m_era = 0;
+    /// False when the handler could not take the event of the era.
+    bool m_isEraDelivered = true;
     bool m_isVmListInFlight = false;
     Instant m_nextVmListAt;
     std::string m_vmListText;
@@ -155,6 +159,7 @@
     while (!m_stop.load()) {
         const auto now = MonotonicClock::now();
         m_budget.setDaemonCount(m_daemonCount.load());
+        repeatEraIfLost();
         takeRequests(now);
         expireQueued(now);
         startQueued(now);
@@ -276,6 +281,7 @@
         }
         auto call = state.needsList ? makeWatchList(m_settings, kind, state.listAfter)
                                     : makeWatchPoll(m_settings, kind, state.revision);
+        call->continuesEarlierCall = !state.needsList || !state.listAfter.empty();
         if (state.needsList) {
             state.listedAt = now;
         }
@@ -362,8 +368,14 @@
 {
     reportReachability(MonotonicClock::now(), call);
     updateCallMetrics(call);
-    if (call.era > m_era) {
-        beginEra(call.era);
+    const bool isOfNewEra = call.era > m_era;
+    if (isOfNewEra) {
+        beginEra(call.era, call);
+    }
+    const bool isOfEarlierEra = call.era != 0 && call.era < m_era;
+    if (isOfEarlierEra || (isOfNewEra && call.continuesEarlierCall)) {
+        dropResponse(call);
+        return;
     }
     switch (call.kind) {
     case CallKind::Read:
@@ -382,13 +394,50 @@
     }
 }
 
-void StoreClient::Private::beginEra(std::uint64_t era)
+/// Lists all watched kinds again: revisions of the earlier era name other changes now, or none.
+void StoreClient::Private::beginEra(std::uint64_t era, const HttpCall &finished)
 {
-    if (m_era != 0) {
+    const bool isRestored = m_era != 0;
+    if (isRestored) {
         logEvent(Events::PlatformRestored, "the store continues from an older copy: era {}, before {}", era, m_era);
     }
     m_era = era;
-    m_handler(StoreEraEvent{era});
+    m_isEraDelivered = m_handler(StoreEraEvent{era});
+    if (!isRestored) {
+        return;
+    }
+    for (auto &[kind, state] : m_watches) {
+        state.restartEra();
+        state.nextAt = MonotonicClock::now();
+        if (state.inFlight != nullptr && state.inFlight != &finished) {
+            cancel(*state.inFlight);
+            state.inFlight = nullptr;
+        }
+    }
+}
+
+void StoreClient::Private::repeatEraIfLost()
+{
+    if (!m_isEraDelivered) {
+        m_isEraDelivered = m_handler(StoreEraEvent{m_era});
+    }
+}
+
+/// Ends a call whose response belongs to an earlier era, or continues a list or a watch of one. A write may have taken
+/// effect and be lost again, so its outcome is unknown.
+void StoreClient::Private::dropResponse(const HttpCall &call)
+{
+    if (call.kind == CallKind::Write) {
+        m_handler(WriteResultEvent{call.key, call.write.writer, call.sentAt, WriteStatus::Unknown, {}});
+        return;
+    }
+    const auto watch = m_watches.find(call.key.kind);
+    if (call.kind == CallKind::Watch && watch != m_watches.end() && watch->second.inFlight == &call) {
+        watch->second.inFlight = nullptr;
+        watch->second.restartList();
+        watch->second.nextAt = MonotonicClock::now();
+    }
+    m_isVmListInFlight = m_isVmListInFlight && call.kind != CallKind::VmList;
 }
 
 void StoreClient::Private::reportMalformedResponse(const HttpCall &call, ErrorCode code, const std::string &detail)
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -346,3 +346,51 @@
     EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 7U);
     EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 1U);
 }
+
+namespace
+{
+std::string responseOfEra(int era, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 200 Scripted\r\nEra: {}\r\nContent-Length: {}\r\n\r\n{}", era, body.size(), body);
+}
+}
+
+// The store continues from an older copy and gives its revisions out again. Guards against going on with a watch from a
+// revision that names another change now, and against ignoring objects whose versions are lower than before.
+TEST(StoreClient, watchStartsAnewWhenTheStoreIsRestored)
+{
+    Fixture fixture(
+        [lists = 0](const std::string &request) mutable -> std::optional<std::string> {
+            const auto path = request.substr(4, request.find(' ', 4) - 4);
+            if (path == "/list/") {
+                return lists++ == 0 ? responseOfEra(1, "a 50 60") : responseOfEra(2, "a 40 45");
+            }
+            if (path == "/watch/60") {
+                return responseOfEra(2, "b 61 61");
+            }
+            return path == "/watch/45" ? std::optional(responseOfEra(2, "a 46 46")) : std::nullopt;
+        },
+        [](StoreClientSettings &settings) {
+            useScriptedPages(settings);
+            settings.dialect.eraHeader = "Era";
+        });
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<StoreEraEvent>().era, 1U);
+    EXPECT_EQ(fixture.next<StoreEraEvent>().era, 2U);
+    std::vector<std::string> objects;
+    for (int n = 0; n < 3; ++n) {
+        const auto object = fixture.next<ObjectEvent>().object;
+        objects.push_back(fmt::format("{} {} {}", object.key.name, object.era, object.version));
+    }
+    EXPECT_EQ(objects, (std::vector<std::string>{"a 1 50", "a 2 40", "a 2 46"}));
+}
+
+// Guards against a writer that repeats a conditional write for ever, because the object does not exist any more.
+TEST(StoreClient, replacingAnObjectThatIsMissingIsAConflict)
+{
+    Fixture fixture([](const std::string &) { return std::optional(ScriptedServer::response(404, "{}")); });
+    const auto result = fixture.write(4);
+    EXPECT_EQ(result.status, WriteStatus::Conflict);
+    EXPECT_EQ(result.current.version, 0U);
+    EXPECT_EQ(fixture.write(0).status, WriteStatus::NotSent);
+}
