Do not take older copies of servers' entries for news

Cause: a restored store shows entries as they were. A server that had left comes back as ready and would get keys and requests, a draining one would get new work again, and the servers that registered in the lost time are missing until they write: as these are few, the rule for outages does not keep them. Change: an entry of the same process with a lower sequence number is older; entries of servers that had left before a restore count only once they are written with a higher one; after a restore all missing entries are kept for 2.2 s. Tests: four in ServerDirectoryTest; the guarded calls do not exist without the change.

--- a/include/galenarock/gateway.h
+++ b/include/galenarock/gateway.h
@@ -30,6 +30,8 @@
     std::string failureDomain;
     std::uint32_t slots = 1;
     bool isDraining = false;
+    /// Increases each time that the process writes its entry; not part of the comparison.
+    std::uint64_t sequence = 0;
 
     friend bool operator==(const ServerEntry &a, const ServerEntry &b)
     {
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -1,5 +1,7 @@
 #include "serverdirectory_p.h"
 
+#include <algorithm>
+
 #include <galenarock/routing.h>
 
 namespace Galenarock
@@ -9,18 +11,55 @@
 {
 /// Servers whose entries expired during an outage of the store register again within this time after it recovers.
 constexpr Duration ReregistrationTime = milliseconds(2'200);
+/// Longer than the history that a restored store may lack.
+constexpr Duration RemovedRetention = seconds(120);
 /// A service has few missing servers if at most one in this many is missing.
 constexpr std::size_t FewMissingDivisor = 3;
 }
 
+void ServerDirectory::storeRestored(Instant now)
+{
+    m_hadOutage = true;
+    m_lastOutageAt = now;
+    m_restoredAt = now;
+    for (auto &[name, it] : m_removed) {
+        it.restoredSequence.reset();
+    }
+}
+
+/// Whether the entry is one that the store had lost already. A server that lives after all writes with a higher
+/// sequence number.
+bool ServerDirectory::hadLeftBeforeRestore(const ServerEntry &entry)
+{
+    const auto found = m_removed.find(entry.identity.name);
+    if (found == m_removed.end()) {
+        return false;
+    }
+    auto &removed = found->second;
+    const bool isCopy = removed.identity == entry.identity && removed.at < m_restoredAt
+        && (!removed.restoredSequence || entry.sequence <= *removed.restoredSequence);
+    if (!isCopy) {
+        m_removed.erase(found);
+        return false;
+    }
+    removed.restoredSequence = entry.sequence;
+    return true;
+}
+
 bool ServerDirectory::put(Instant now, const ServerEntry &entry)
 {
+    if (hadLeftBeforeRestore(entry)) {
+        return false;
+    }
     auto &server = m_servers[entry.identity.name];
     if (server.entry.identity.boot > entry.identity.boot) {
         return false;
     }
     server.removeAt.reset();
-    if (server.entry == entry) {
+    // An older copy of the entry must not take back that the server is draining.
+    const bool isOlder = server.entry.identity == entry.identity && entry.sequence < server.entry.sequence;
+    if (isOlder || server.entry == entry) {
+        server.entry.sequence = std::max(server.entry.sequence, entry.sequence);
         return false;
     }
     const bool isSameProcess = server.entry.identity == entry.identity;
@@ -45,6 +84,7 @@
         found->second.removeAt = m_lastOutageAt + ReregistrationTime;
         return false;
     }
+    m_removed[name] = {found->second.entry.identity, now, {}};
     m_servers.erase(found);
     return true;
 }
@@ -66,13 +106,20 @@
         if (removeAt && !isStoreReachable) {
             removeAt = now + ReregistrationTime;
         }
-        if (removeAt && (now >= *removeAt || hasFewMissing(it->second.entry.service))) {
+        // After a restore the servers that are missing may be the ones that registered in the lost time.
+        const bool isRestored = m_restoredAt != Instant() && now - m_restoredAt < ReregistrationTime;
+        const bool haveLeft = !isRestored && hasFewMissing(it->second.entry.service);
+        if (removeAt && (now >= *removeAt || haveLeft)) {
+            m_removed[it->first] = {it->second.entry.identity, now, {}};
             it = m_servers.erase(it);
             changed = true;
             continue;
         }
         ++it;
     }
+    for (auto it = m_removed.begin(); it != m_removed.end();) {
+        it = now - it->second.at >= RemovedRetention ? m_removed.erase(it) : std::next(it);
+    }
     return changed;
 }
 
--- a/src/gateway/serverdirectory_p.h
+++ b/src/gateway/serverdirectory_p.h
@@ -24,6 +24,10 @@
     /// Removes a server whose entry disappeared from the store. Returns false if the server is not tracked or if its
     /// removal is deferred because of an outage; update() then removes it.
     bool remove(Instant now, const std::string &name);
+    /// The store continues from an older copy. Entries that are missing now are kept until their servers have had the
+    /// time to write them again; entries of servers that had left are ignored until these write, if they live after
+    /// all.
+    void storeRestored(Instant now);
     /// Call on each tick. Returns true when servers were removed or the handover time of a draining server ended.
     bool update(Instant now, bool isStoreReachable);
 
@@ -40,6 +44,7 @@
 
 private:
     bool hasFewMissing(const std::string &service) const;
+    bool hadLeftBeforeRestore(const ServerEntry &entry);
 
     struct TrackedServer
     {
@@ -52,6 +57,16 @@
         bool isHandoverDone = false;
     };
     std::map<std::string, TrackedServer> m_servers;
+    /// Server that was removed, and its sequence number when the restored store showed it again.
+    struct RemovedServer
+    {
+        Identity identity;
+        Instant at{};
+        std::optional<std::uint64_t> restoredSequence;
+    };
+    std::map<std::string, RemovedServer> m_removed;
+    /// When the store was last found to continue from an older copy; zero for never.
+    Instant m_restoredAt{};
     Instant m_lastOutageAt{};
     bool m_hadOutage = false;
 };
--- a/src/gateway/tests/serverdirectorytest.cpp
+++ b/src/gateway/tests/serverdirectorytest.cpp
@@ -13,9 +13,9 @@
     return Instant(seconds(100) + milliseconds(ms));
 }
 
-ServerEntry entry(const std::string &name, std::uint64_t boot, bool isDraining = false)
+ServerEntry entry(const std::string &name, std::uint64_t boot, bool isDraining = false, std::uint64_t sequence = 0)
 {
-    return {{name, boot}, "shop", "10.0.0.1:80", "rioja", 4, isDraining};
+    return {{name, boot}, "shop", "10.0.0.1:80", "rioja", 4, isDraining, sequence};
 }
 
 ServerDirectory directoryOf(int servers)
@@ -86,3 +86,55 @@
     EXPECT_TRUE(directory.update(at(250), true));
     EXPECT_EQ(directory.size(), 5U);
 }
+
+// The store continues from an older copy that lacks the servers which registered since. Guards against taking these for
+// gone before they could write again; as few servers are missing, an outage alone would not keep them.
+TEST(ServerDirectoryTest, ServersThatARestoredStoreLacksAreKeptForAWhile)
+{
+    auto directory = directoryOf(8);
+    directory.storeRestored(at(0));
+    EXPECT_FALSE(directory.remove(at(100), "s-7"));
+    EXPECT_FALSE(directory.update(at(200), true));
+    EXPECT_EQ(directory.size(), 8U);
+    directory.put(at(1'500), entry("s-7", 5));
+    EXPECT_FALSE(directory.update(at(2'300), true));
+    EXPECT_EQ(directory.size(), 8U);
+    EXPECT_FALSE(directory.remove(at(2'000), "s-6"));
+    EXPECT_TRUE(directory.update(at(2'300), true));
+    EXPECT_EQ(directory.size(), 7U);
+}
+
+// Guards against sending new work to a draining server because an older copy of its entry says that it is ready.
+TEST(ServerDirectoryTest, OlderEntryOfADrainingServerIsIgnored)
+{
+    auto directory = directoryOf(1);
+    directory.put(at(0), entry("s-0", 5, true, 9));
+    directory.storeRestored(at(100));
+    EXPECT_FALSE(directory.put(at(100), entry("s-0", 5, false, 4)));
+    EXPECT_TRUE(directory.find("s-0")->isDraining);
+    EXPECT_TRUE(directory.put(at(200), entry("s-0", 6, false, 1)));
+    EXPECT_FALSE(directory.find("s-0")->isDraining);
+}
+
+// Guards against giving keys and requests to a server that had left, because the copy still has its entry. A server
+// that lives writes again.
+TEST(ServerDirectoryTest, ServerThatHadLeftIsNotUsedAgainAfterARestore)
+{
+    auto directory = directoryOf(3);
+    EXPECT_TRUE(directory.remove(at(0), "s-1"));
+    directory.storeRestored(at(5'000));
+    EXPECT_FALSE(directory.put(at(5'000), entry("s-1", 5, false, 7)));
+    EXPECT_FALSE(directory.put(at(5'100), entry("s-1", 5, false, 7)));
+    EXPECT_EQ(directory.size(), 2U);
+    EXPECT_TRUE(directory.put(at(6'000), entry("s-1", 5, false, 8)));
+    EXPECT_EQ(directory.size(), 3U);
+}
+
+// Guards against ignoring a server whose entry only lapsed and came back.
+TEST(ServerDirectoryTest, ServerThatRegistersAgainIsUsed)
+{
+    auto directory = directoryOf(3);
+    EXPECT_TRUE(directory.remove(at(0), "s-1"));
+    EXPECT_TRUE(directory.put(at(3'000), entry("s-1", 5, false, 7)));
+    EXPECT_EQ(directory.size(), 3U);
+}
