Tell the lease controllers the store's era and write lost objects again

Cause: a controller is created after the first response of the store, so it never learned the first era and wrote its records without one; a successor would have trusted them after a restore. The entries of daemons and the key of peer messages that were written in the lost time stayed lost: a new daemon would make a key of its own and not be understood by the others. Change: a new controller gets the era that the control plane knows. After a restore the directory of servers is told, and each daemon writes its entry and, if it is missing, the key again, at different times within 1.5 s; the key of running daemons replaces one that was made meanwhile (line 129).

--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -14,6 +14,7 @@
 inline constexpr EventType PeersOpened{125, Severity::Info, "peers-opened"};
 inline constexpr EventType ReadinessChanged{126, Severity::Info, "readiness-changed"};
 inline constexpr EventType DaemonEntryRefused{127, Severity::Warning, "daemon-entry-refused"};
+inline constexpr EventType PeerKeyReplaced{129, Severity::Warning, "peer-key-replaced"};
 inline constexpr EventType ReloadIgnored{128, Severity::Info, "reload-ignored"};
 
 }
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -15,6 +15,8 @@
 constexpr Duration JoinRetryInterval = milliseconds(500);
 constexpr Duration LoadInterval = milliseconds(250);
 constexpr Duration StatusInterval = milliseconds(500);
+/// Time within which the daemons write their own objects again after the store was restored.
+constexpr Duration RewriteSpread = milliseconds(1'500);
 constexpr const char *PeerKeyName = "peer-key";
 /// Lease calls per second for which a leader plans, per core; about two thirds of what a VM with requests can make.
 constexpr double LeaseCallsPerCore = 2'000;
@@ -80,6 +82,9 @@
         onMissing(now, missing->key);
     } else if (const auto *written = std::get_if<WriteResultEvent>(&event)) {
         onWritten(now, *written);
+    } else if (const auto *store = std::get_if<StoreEraEvent>(&event)) {
+        onStoreEra(now, store->era);
+        return;
     } else if (const auto *synced = std::get_if<KindSyncedEvent>(&event)) {
         if (synced->kind == m_dialect.serverKind && !m_areServersKnown) {
             m_areServersKnown = true;
@@ -142,7 +147,7 @@
     const bool isRefused = event.status == WriteStatus::Conflict && event.current.version > 0;
     if (event.key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
         if (isRefused || event.status == WriteStatus::Applied) {
-            adoptPeerKey(event.current);
+            onPeerKeyStored(event.current);
         }
     } else if (event.key.kind == ObjectKind::Daemon && event.key.name == m_settings.self.name) {
         if (event.status == WriteStatus::Applied) {
@@ -155,6 +160,24 @@
     static_cast<void>(now);
 }
 
+/// What this daemon wrote may be lost, as may be the entries of servers until they write again.
+void GatewayControlPlane::onStoreEra(Instant now, std::uint64_t era)
+{
+    const bool isRestored = m_storeEra != 0;
+    m_storeEra = era;
+    for (auto &[service, controller] : m_leases) {
+        carryOut(now, controller.step(now, StoreEraEvent{era}));
+    }
+    if (isRestored) {
+        m_servers.storeRestored(now);
+        m_isDaemonEntryWritten = false;
+        m_isPeerKeyWritten = false;
+        // At different times, so that a large fleet does not write all at once.
+        m_nextJoinAt =
+            now + duration_cast<Duration>(RewriteSpread * (static_cast<double>(m_settings.seed % 1'000) / 1'000));
+    }
+}
+
 void GatewayControlPlane::adoptConfiguration(Instant now, const StoredObject &object)
 {
     auto parsed = m_dialect.readConfiguration(object);
@@ -216,18 +239,19 @@
         settings.renewEvery = std::min(settings.renewEvery, settings.grantDuration / 3);
         auto &controller = m_leases.emplace(it.name, LeaseController(settings)).first->second;
         carryOut(now, controller.step(now, MembersEvent{m_members}));
+        carryOut(now, controller.step(now, StoreEraEvent{m_storeEra}));
         carryOut(now, controller.setServers(now, m_servers.leaseServers(it.name)));
     }
 }
 
 void GatewayControlPlane::joinFleet(Instant now)
 {
-    if (now < m_nextJoinAt || m_isStopping || (!m_isPeerKeyNeeded && m_isDaemonEntryWritten)) {
+    if (now < m_nextJoinAt || m_isStopping || (m_isPeerKeyWritten && m_isDaemonEntryWritten)) {
         return;
     }
     m_nextJoinAt = now + JoinRetryInterval;
-    if (m_isPeerKeyNeeded) {
-        const nlohmann::json value{{"key", newPeerKeyHex()}};
+    if (!m_isPeerKeyWritten) {
+        const nlohmann::json value{{"key", m_isPeerKeyNeeded ? newPeerKeyHex() : m_peerKeyHex}};
         m_hooks.writeObject(
             {{ObjectKind::Fleet, PeerKeyName}, 0, randomNonce(), value, CallPriority::Leadership, false});
     } else {
@@ -246,16 +270,33 @@
         {{ObjectKind::Daemon, m_settings.self.name}, version, randomNonce(), value, CallPriority::Leadership, false});
 }
 
+/// The key of running daemons goes before one that a daemon created while the store had lost it.
+void GatewayControlPlane::onPeerKeyStored(const StoredObject &object)
+{
+    adoptPeerKey(object);
+    const auto stored = textOf(object.value, "key");
+    m_isPeerKeyWritten = !m_isPeerKeyNeeded && stored == m_peerKeyHex;
+    if (!m_isPeerKeyNeeded && !m_isPeerKeyWritten) {
+        logEvent(Events::PeerKeyReplaced,
+                 "the store has another key for peer messages than this daemon uses; replacing it");
+        m_hooks.writeObject(
+            {object.key, object.version, randomNonce(), {{"key", m_peerKeyHex}}, CallPriority::Leadership, false});
+    }
+}
+
 void GatewayControlPlane::adoptPeerKey(const StoredObject &object)
 {
     if (!m_isPeerKeyNeeded) {
         return;
     }
-    m_peerAddress = m_hooks.openPeers(textOf(object.value, "key"));
+    const auto key = textOf(object.value, "key");
+    m_peerAddress = m_hooks.openPeers(key);
     if (m_peerAddress.empty()) {
         return;
     }
+    m_peerKeyHex = key;
     m_isPeerKeyNeeded = false;
+    m_isPeerKeyWritten = true;
     m_nextJoinAt = {};
     m_membership = MembershipCore(membershipSettings(m_settings, m_peerAddress));
 }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -87,9 +87,11 @@
     void onObject(Instant now, const StoredObject &object);
     void onMissing(Instant now, const ObjectKey &key);
     void onWritten(Instant now, const WriteResultEvent &event);
+    void onStoreEra(Instant now, std::uint64_t era);
     void adoptConfiguration(Instant now, const StoredObject &object);
     void adoptServer(Instant now, const StoredObject &object);
     void adoptDaemon(Instant now, const StoredObject &object);
+    void onPeerKeyStored(const StoredObject &object);
     void adoptPeerKey(const StoredObject &object);
     void joinFleet(Instant now);
     void writeDaemonEntry(std::uint64_t version);
@@ -118,8 +120,13 @@
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::shared_ptr<const nlohmann::json> m_status;
 
+    /// Era of the store; 0 while unknown.
+    std::uint64_t m_storeEra = 0;
     std::string m_peerAddress;
+    std::string m_peerKeyHex;
     bool m_isPeerKeyNeeded = true;
+    /// The store has the key that this daemon uses.
+    bool m_isPeerKeyWritten = false;
     bool m_isDaemonEntryWritten = false;
     bool m_areServersKnown = false;
     bool m_isStopping = false;
