Suspect an unknown leader after every loss of the record

Cause: a successor in a new era took the leader that it had heard last for the last one. Change: the successor always waits until all members have been alive for 3 s, or the 15 s of the lead are over, before it grants keys from a record of an earlier era. Keys are served later then, when a leader is lost together with its record. The umbrella header lists the two new headers.

--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -24,7 +24,9 @@
 #include <galenarock/ring.h>
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
+#include <galenarock/serverlimits.h>
 #include <galenarock/settings.h>
+#include <galenarock/sharedserverlimits.h>
 #include <galenarock/shedthrottle.h>
 #include <galenarock/storeclient.h>
 #include <galenarock/suspects.h>
--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -246,8 +246,8 @@
 /// Pure core for one keyed service on one daemon: leadership, record, lease calls, moves and the table for routing.
 ///
 /// Handles TickEvent (each 50 ms), ObjectEvent and ObjectMissingEvent of its record, WriteResultEvent, LeaseReplyEvent,
-/// PeerEvent (LeaseMessage), MembersEvent, StoreEraEvent and StopEvent. The table is published as an Assignment whose slices have no
-/// owner while a move is under way.
+/// PeerEvent (LeaseMessage), MembersEvent, StoreEraEvent and StopEvent. The table is published as an Assignment whose
+/// slices have no owner while a move is under way.
 class LeaseController
 {
 public:
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -140,9 +140,9 @@
     });
     if (lastLeader != m_members.end()) {
         record.former.push_back(lastLeader->identity);
-    } else if (m_heardEpoch < record.epoch || m_heardEpoch == 0) {
-        record.former.push_back(UnknownProcess);
     }
+    // One that this daemon has not heard may have followed.
+    record.former.push_back(UnknownProcess);
     record.epoch = std::max({record.epoch, m_seenEpoch, static_cast<std::uint32_t>(m_storeEra << EpochBitsPerEra)});
     for (auto &it : record.ranges) {
         it.next = it.holder.name.empty() ? it.next : it.holder;
