Do not reply to a daemon before the peer transport can be used

The reply would have used a null pointer. Change: other threads use the transport through an atomic pointer and drop the reply while there is none; the other daemon asks again. The list of known issuers is bounded. Measured: unit and adapter tests pass (release); no test provokes the race.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <galenarock/gateway.h>
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 
 #include <fmt/format.h>
@@ -89,8 +90,11 @@
     void broadcast(const SuspectReport &report);
     void receiveRequestMessage(const PeerEvent &event);
     void receivePeerMessage(PeerEvent event);
+    void sendLimitMessage(const SendPeerAction &message);
     void addGauges();
 
+    /// The open peer transport, for threads other than the control thread; null before.
+    std::atomic<PeerTransport *> m_openPeers{nullptr};
     std::mutex m_membersMutex;
     std::vector<Member> m_members;
 };
@@ -209,6 +213,15 @@
     }
 }
 
+/// Called on any thread. A message of another daemon can arrive, and want a reply, before the transport is ready to use
+/// here; that daemon asks again.
+void Gateway::Impl::sendLimitMessage(const SendPeerAction &message)
+{
+    if (auto *transport = m_openPeers.load()) {
+        transport->send(message);
+    }
+}
+
 void Gateway::Impl::openStore()
 {
     StoreClientSettings client;
@@ -246,6 +259,7 @@
             BOOST_LEAF_ASSIGN(peers, PeerTransport::open(transport, metrics, [this](PeerEvent event) {
                                   receivePeerMessage(std::move(event));
                               }));
+            m_openPeers.store(peers.get());
             logEvent(Events::PeersOpened, "{}", peers->address());
             return peers->address();
         },
@@ -267,8 +281,7 @@
                              [this](Instant now) {
                                  controlPlane->endBatch(now);
                              }});
-    // Messages have receivers only once the peer transport is open and has passed on members.
-    shared.serverLimits().setSendHook([this](const SendPeerAction &it) { peers->send(it); });
+    shared.serverLimits().setSendHook([this](const SendPeerAction &it) { sendLimitMessage(it); });
     shared.serverLimits().setWakeHook([this] { proxy.wake(); });
     shared.suspects().setReportHook([this](const SuspectReport &it) { broadcast(it); });
     ProxySettings proxySettings{toString(settings.listen), settings.workers};
--- a/src/requests/serverlimits.cpp
+++ b/src/requests/serverlimits.cpp
@@ -29,6 +29,7 @@
 constexpr Duration ExpiryInterval = seconds(1);
 /// Requests per second to a server that states an even lower rate.
 constexpr double SlowestRate = 0.1;
+constexpr std::size_t MaxKnownIssuers = 16'384;
 constexpr std::size_t MaxQuestions = 10'000;
 
 double toSeconds(Duration duration)
@@ -264,6 +265,9 @@
     m_nextExpiryAt = now + ExpiryInterval;
     m_table.expire(now);
     m_issuer.expire(now);
+    if (m_issuers.size() > MaxKnownIssuers) {
+        m_issuers.clear(); // they are found again when they are needed
+    }
     for (auto it = m_refusedUntil.begin(); it != m_refusedUntil.end();) {
         it = now >= it->second ? m_refusedUntil.erase(it) : std::next(it);
     }
