Let the worker test state a rate in its first answer

Cause: RawServer counts requests from 1, so ServerThatStatesNoRateAnyMoreGetsAllRequests never stated a rate and tested nothing. Change: the first answer states one, and the test checks that it holds until the second answer and not after it.

--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -388,11 +388,13 @@
 {
     RawServer server([](int n, const std::string &) {
         return fmt::format("HTTP/1.1 200 OK\r\nRequest: r-1\r\n{}Content-Length: 2\r\n\r\nok",
-                           n == 0 ? "Rate: 50\r\n" : "");
+                           n == 1 ? "Rate: 50\r\n" : "");
     });
+    shared.serverLimits().setFleetListed(); // this daemon is the only one, so it may use the whole rate
     setRoutes({server.address()}, Distribution::Keyed);
     listen();
     for (int n = 0; n < 30; ++n) {
         EXPECT_EQ(answerToRequest(n).compare(0, 12, "HTTP/1.1 200"), 0);
+        EXPECT_EQ(shared.serverLimits().hasLimits(), n == 0) << n;
     }
 }
