Rename the gossip of stated rates to the field's terms

Cause: "news" is a private term. Change: identifiers and two comments only; no behaviour. Measured: release build of the gateway and the tests; 59 tests of rates, permits, the worker and the event catalogue pass.

--- a/include/galenarock/serverlimits.h
+++ b/include/galenarock/serverlimits.h
@@ -225,7 +225,7 @@
                        LimitActions &actions);
     /// Handles a message of another daemon. Fails with MalformedMessage.
     Result<void> receive(Instant now, const PeerEvent &event, LimitActions &actions);
-    /// Ends questions without a reply, and sends news. Call at least every 50 ms.
+    /// Ends questions without a reply, and sends changes. Call at least every 50 ms.
     void step(Instant now, LimitActions &actions);
 
     bool isLimited(const Identity &server) const
@@ -262,7 +262,7 @@
     Permit issueFromOwnPart(Instant now, const Identity &server);
     Permit remember(Instant now, const Identity &server, std::uint32_t priority, Permit permit);
     void endQuestions(Instant now, LimitActions &actions);
-    void sendNews(Instant now, LimitActions &actions);
+    void sendRecentChanges(Instant now, LimitActions &actions);
     void synchronize(Instant now, LimitActions &actions);
     void mergeEntry(Instant now, const ServerLimit &limit);
     void answer(Instant now, const std::string &asker, const PermitRequest &request, LimitActions &actions);
@@ -286,7 +286,7 @@
     std::map<Identity, OwnPart> m_ownParts;
     std::map<std::pair<Identity, std::uint32_t>, Instant> m_refusedUntil;
     std::vector<ServerLimit> m_changes;
-    Instant m_nextNewsAt{};
+    Instant m_nextGossipAt{};
     Instant m_nextSyncAt{};
     Instant m_nextExpiryAt{};
 };
--- a/include/galenarock/sharedserverlimits.h
+++ b/include/galenarock/sharedserverlimits.h
@@ -40,7 +40,7 @@
     std::optional<Permit> takeOutcome(std::uint64_t number);
     /// Handles a message of another daemon; a malformed one is counted.
     void receive(Instant now, const PeerEvent &event);
-    /// Sends news and ends questions without a reply. Call at least every 50 ms.
+    /// Sends changes and ends questions without a reply. Call at least every 50 ms.
     void step(Instant now);
     /// Counts a request that is sent, for the log.
     void countSent(const Identity &server, bool isRepeated);
--- a/src/requests/serverlimits.cpp
+++ b/src/requests/serverlimits.cpp
@@ -22,9 +22,9 @@
 constexpr std::size_t AssumedFleetSize = 16;
 constexpr Duration DeadMemberMemory = seconds(60);
 /// Gossip of changed rates: interval, receivers, and how long a change is passed on.
-constexpr Duration NewsInterval = milliseconds(100);
-constexpr int NewsReceivers = 3;
-constexpr Duration NewsAge = seconds(1);
+constexpr Duration GossipInterval = milliseconds(100);
+constexpr int GossipReceivers = 3;
+constexpr Duration GossipAge = seconds(1);
 constexpr Duration SyncInterval = seconds(5);
 constexpr Duration ExpiryInterval = seconds(1);
 /// Requests per second to a server that states an even lower rate.
@@ -255,7 +255,7 @@
 void ServerLimits::step(Instant now, LimitActions &actions)
 {
     endQuestions(now, actions);
-    sendNews(now, actions);
+    sendRecentChanges(now, actions);
     synchronize(now, actions);
     actions.changes.insert(actions.changes.end(), m_changes.begin(), m_changes.end());
     m_changes.clear();
@@ -293,18 +293,18 @@
     return name == m_self ? std::string() : name;
 }
 
-void ServerLimits::sendNews(Instant now, LimitActions &actions)
+void ServerLimits::sendRecentChanges(Instant now, LimitActions &actions)
 {
-    if (now < m_nextNewsAt) {
+    if (now < m_nextGossipAt) {
         return;
     }
-    m_nextNewsAt = now + NewsInterval;
-    const auto news = m_table.changedWithin(now, NewsAge);
-    if (news.empty()) {
+    m_nextGossipAt = now + GossipInterval;
+    const auto changes = m_table.changedWithin(now, GossipAge);
+    if (changes.empty()) {
         return;
     }
-    const auto payload = encode(news);
-    for (int n = 0; n < NewsReceivers; ++n) {
+    const auto payload = encode(changes);
+    for (int n = 0; n < GossipReceivers; ++n) {
         const auto member = randomMember();
         if (!member.empty()) {
             actions.messages.push_back({member, RequestMessage::LimitUpdate, payload});
