--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -1,5 +1,8 @@
 #include "leasecaller_p.h"
 
+#include <fmt/format.h>
+
+#include "leases/events_p.h"
 #include "proxy/headerfields_p.h"
 
 namespace Galenarock
@@ -13,6 +16,14 @@
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
 constexpr std::int64_t ReleaseTimeoutMs = 3'000;
+
+/// For the log: what a call asks of which server.
+std::string describe(const LeaseCall &call)
+{
+    const auto *command = call.command == LeaseCommand::Grant ? "grant" : "release";
+    return fmt::format("{} {} {}-{} with fencing token {} to {} at {}", call.service, command, toHex(call.range.first),
+                       toHex(call.range.last), call.fencingToken, toString(call.server), call.address);
+}
 }
 
 struct LeaseCaller::PendingCall
@@ -93,6 +104,12 @@
     } else {
         reply.detail = fmt::format("{} on {} connection", result.error, result.isNewConnection ? "a new" : "a kept");
         reply.status = result.sent ? LeaseCallStatus::Unknown : LeaseCallStatus::NotSent;
+        const auto age = duration_cast<milliseconds>(MonotonicClock::now() - reply.sentAt).count();
+        logEvent(LeaseEvents::CallUnanswered, "{}, {} after {} ms: {}", describe(reply.call),
+                 result.sent ? "given up" : "not sent", age, reply.detail);
+    }
+    if (result.sent && result.isNewConnection && !m_connected.insert(reply.call.address).second) {
+        logEvent(LeaseEvents::CallReconnected, "{} went over a new connection", describe(reply.call));
     }
     constexpr const char *results[] = {"accepted", "outdated", "refused", "not-sent", "unknown", "late"};
     m_metrics
--- a/src/gateway/leasecaller_p.h
+++ b/src/gateway/leasecaller_p.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <string>
+#include <unordered_set>
 
 #include <galenarock/gateway.h>
 #include <galenarock/metrics.h>
@@ -31,6 +33,8 @@
     const GatewayDialect &m_dialect;
     Metrics &m_metrics;
     ReplyHook m_onReply;
+    /// Addresses to which a connection was opened before.
+    std::unordered_set<std::string> m_connected;
     CallerThread m_thread; ///< Last member: the thread uses all others.
 };
 
--- a/src/leases/events_p.h
+++ b/src/leases/events_p.h
@@ -19,4 +19,6 @@
 inline constexpr EventType MessageMalformed{341, Severity::Warning, "lease-message-malformed"};
 inline constexpr EventType RecordRestored{343, Severity::Warning, "lease-record-restored"};
 inline constexpr EventType LeaderSummary{342, Severity::Info, "lease-leader-summary"};
+inline constexpr EventType CallUnanswered{344, Severity::Info, "lease-call-unanswered"};
+inline constexpr EventType CallReconnected{345, Severity::Info, "lease-call-reconnected"};
 }
