--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -155,6 +155,9 @@
     std::uint64_t callNumber = 0;
     /// The call is not sent later than this on the clock that counts suspension.
     Instant sendBefore{};
+    /// LeaseReplyEvent::connection of the call in which the server accepted the fencing token; 0 if it has not yet. The
+    /// call is then not sent over a connection opened later, at whose other end may be a later process of the server.
+    std::uint64_t connection = 0;
 };
 
 enum class LeaseCallStatus : std::uint8_t
@@ -170,13 +173,18 @@
     Unknown,
     /// Dropped in this process because it waited too long to be sent; says nothing about the server.
     Late,
+    /// Not sent, since the connection over which the server accepted the fencing token is not the latest one.
+    Reconnected,
 };
 
 struct LeaseReplyEvent
 {
     LeaseCall call;
+    /// The call was sent no earlier than this.
     Instant sentAt;
     LeaseCallStatus status = LeaseCallStatus::Unknown;
+    /// Number of the latest connection to the address when the call was sent. Increases with each new connection.
+    std::uint64_t connection = 0;
     /// Release: proof for the next holder.
     std::string releaseProof;
     /// Why the call failed, for the log; empty when it was accepted.
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -67,6 +67,11 @@
         m_onReply(pending->reply);
         return;
     }
+    if (call.connection != 0 && call.connection != m_connections[call.address]) {
+        pending->reply.status = LeaseCallStatus::Reconnected;
+        finish(*pending, {});
+        return;
+    }
     pending->http = m_dialect.encodeLeaseCall(call);
     AttemptRequest request;
     request.method = pending->http.method;
@@ -78,6 +83,9 @@
     request.timeoutMs = call.command == LeaseCommand::Release ? ReleaseTimeoutMs : GrantTimeoutMs;
     request.connectTimeoutMs = ConnectTimeoutMs;
     AttemptHooks hooks;
+    hooks.beforeSend = [this, pending](bool isNewConnection) {
+        return mayGoOver(*pending, isNewConnection);
+    };
     hooks.onHead = [pending](unsigned status, std::vector<HeaderField> headers) {
         pending->status = status;
         pending->headers = std::move(headers);
@@ -92,6 +100,22 @@
     upstream.start(std::move(request), std::move(hooks));
 }
 
+/// Connections are counted because a connection reaches the same process for as long as it lasts, while the address may
+/// be that of a later process. An unused connection that is closed again is not counted.
+bool LeaseCaller::mayGoOver(PendingCall &pending, bool isNewConnection)
+{
+    auto &reply = pending.reply;
+    auto &connection = m_connections[reply.call.address];
+    if (isNewConnection && reply.call.connection != 0) {
+        logEvent(LeaseEvents::CallReconnected, "{} needs a new connection and a new token", describe(reply.call));
+        reply.status = LeaseCallStatus::Reconnected;
+        return false;
+    }
+    connection += isNewConnection ? 1 : 0;
+    reply.connection = connection;
+    return true;
+}
+
 void LeaseCaller::finish(PendingCall &pending, const AttemptResult &result)
 {
     auto &reply = pending.reply;
@@ -101,17 +125,14 @@
         if (reply.status != LeaseCallStatus::Accepted) {
             reply.detail = fmt::format("HTTP status {}", pending.status);
         }
-    } else {
+    } else if (reply.status != LeaseCallStatus::Reconnected) {
         reply.detail = fmt::format("{} on {} connection", result.error, result.isNewConnection ? "a new" : "a kept");
         reply.status = result.sent ? LeaseCallStatus::Unknown : LeaseCallStatus::NotSent;
         const auto age = duration_cast<milliseconds>(MonotonicClock::now() - reply.sentAt).count();
         logEvent(LeaseEvents::CallUnanswered, "{}, {} after {} ms: {}", describe(reply.call),
                  result.sent ? "given up" : "not sent", age, reply.detail);
     }
-    if (result.sent && result.isNewConnection && !m_connected.insert(reply.call.address).second) {
-        logEvent(LeaseEvents::CallReconnected, "{} went over a new connection", describe(reply.call));
-    }
-    constexpr const char *results[] = {"accepted", "outdated", "refused", "not-sent", "unknown", "late"};
+    constexpr const char *results[] = {"accepted", "outdated", "refused", "not-sent", "unknown", "late", "reconnected"};
     m_metrics
         .counter("galenarock_orders_total",
                  fmt::format("result=\"{}\"", results[static_cast<std::size_t>(reply.status)]))
--- a/src/gateway/leasecaller_p.h
+++ b/src/gateway/leasecaller_p.h
@@ -2,7 +2,7 @@
 
 #include <functional>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 
 #include <galenarock/gateway.h>
 #include <galenarock/metrics.h>
@@ -28,13 +28,15 @@
     struct PendingCall;
 
     void start(UpstreamClient &upstream, const LeaseCall &call);
+    /// Whether the call may go over the chosen connection.
+    bool mayGoOver(PendingCall &pending, bool isNewConnection);
     void finish(PendingCall &pending, const AttemptResult &result);
 
     const GatewayDialect &m_dialect;
     Metrics &m_metrics;
     ReplyHook m_onReply;
-    /// Addresses to which a connection was opened before.
-    std::unordered_set<std::string> m_connected;
+    /// Number of the latest connection to each address over which a call was sent.
+    std::unordered_map<std::string, std::uint64_t> m_connections;
     CallerThread m_thread; ///< Last member: the thread uses all others.
 };
 
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -65,9 +65,10 @@
 class LeaseCallerTest : public testing::Test
 {
 protected:
-    LeaseReplyEvent call(const std::string &address, Instant sendBefore)
+    LeaseReplyEvent call(const std::string &address, Instant sendBefore, std::uint64_t connection = 0)
     {
         LeaseCall it;
+        it.connection = connection;
         it.address = address;
         it.sendBefore = sendBefore;
         caller.call(it);
@@ -123,6 +124,33 @@
     EXPECT_FALSE(reply.detail.empty());
 }
 
+// Guards against a renewal that goes over a new connection, at whose other end may be a later process of the server, so
+// that this one takes keys under the fencing token of the earlier one (OWNER).
+TEST_F(LeaseCallerTest, AcceptedTokenIsNotSentOverANewConnection)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; });
+    const auto first = call(server.address(), later());
+    ASSERT_EQ(first.status, LeaseCallStatus::Accepted);
+    EXPECT_NE(first.connection, 0U);
+    EXPECT_EQ(call(server.address(), later(), first.connection).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(server.connections(), 1);
+    EXPECT_EQ(call(server.address(), later(), first.connection + 1).status, LeaseCallStatus::Reconnected);
+    EXPECT_EQ(server.requests(), 2);
+}
+
+TEST_F(LeaseCallerTest, TokenIsNotSentAfterTheConnectionWasLost)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; },
+                     RawServer::AfterAnswer::Close);
+    const auto first = call(server.address(), later());
+    ASSERT_EQ(first.status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(call(server.address(), later(), first.connection).status, LeaseCallStatus::Reconnected);
+    EXPECT_EQ(server.requests(), 1);
+    const auto renewed = call(server.address(), later());
+    EXPECT_EQ(renewed.status, LeaseCallStatus::Accepted);
+    EXPECT_GT(renewed.connection, first.connection);
+}
+
 // Guards against the bytes of a call that was given up: after an orderly close the kernel keeps sending them, and they
 // can take effect when a cut ends, seconds after the leader has counted the grant as expired (OWNER).
 TEST_F(LeaseCallerTest, GivenUpCallResetsItsConnection)
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -325,10 +325,12 @@
     const auto excluded = std::count_if(m_exclusions.begin(), m_exclusions.end(),
                                         [&](const auto &it) { return it.second.until > m_now; });
     const auto &n = m_replyCounts;
-    decide(LeaseEvents::LeaderSummary, {},
-           fmt::format("{} ranges, {} granted, {} moving; {} servers, {} of them excluded; lease calls since the last "
-                       "summary: {} accepted, {} outdated, {} refused, {} not sent, {} without an answer, {} late",
-                       slices.size(), granted, moving, m_servers.size(), excluded, n[0], n[1], n[2], n[3], n[4], n[5]));
+    decide(
+        LeaseEvents::LeaderSummary, {},
+        fmt::format(
+            "{} ranges, {} granted, {} moving; {} servers, {} of them excluded; lease calls since the last "
+            "summary: {} accepted, {} outdated, {} refused, {} not sent, {} without an answer, {} late, {} reconnected",
+            slices.size(), granted, moving, m_servers.size(), excluded, n[0], n[1], n[2], n[3], n[4], n[5], n[6]));
     m_replyCounts = {};
 }
 
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -95,6 +95,9 @@
     void sendGrant(LeaseSlice &slice);
     void sendRelease(LeaseSlice &slice);
     void send(LeaseSlice &slice, LeaseCall call);
+    void restartHolder(LeaseSlice &slice, const Identity &restarted);
+    /// Lets the next grant have a new fencing token, which no server has accepted yet.
+    static void dropToken(LeaseSlice &slice);
     void finishRelease(LeaseSlice &slice, bool isAnswered);
     void onGrantReply(LeaseSlice &slice, const LeaseReplyEvent &event);
     void onReleaseReply(LeaseSlice &slice, const LeaseReplyEvent &event);
@@ -213,7 +216,7 @@
     std::map<Identity, ServiceTime> m_serviceTimes;
     Instant m_loadSince{};
     /// Replies to lease calls since the last summary, by LeaseCallStatus.
-    std::array<std::size_t, 6> m_replyCounts{};
+    std::array<std::size_t, 7> m_replyCounts{};
     Instant m_nextSummaryAt{};
 };
 
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -61,26 +61,36 @@
         return;
     }
     for (auto &slice : m_slices.all()) {
-        const bool hasRestarted = std::any_of(m_servers.begin(), m_servers.end(), [&](const LeaseServer &it) {
+        const auto restarted = std::find_if(m_servers.begin(), m_servers.end(), [&](const LeaseServer &it) {
             return it.identity.name == slice.holder.name && it.identity.boot > slice.holder.boot;
         });
-        if (!hasRestarted) {
+        if (restarted == m_servers.end()) {
             continue;
         }
-        m_isTableStale = true;
-        // The earlier process has ended, so its grants are no longer in force.
-        decide(LeaseEvents::HolderUnresponsive, slice.range, fmt::format("{} has restarted", toString(slice.holder)));
-        slice.openCall = 0;
-        slice.isReleasing = false;
-        slice.isGranted = false;
-        slice.holder = {};
-        slice.holdsUntil = {};
-        slice.unansweredUntil = {};
+        restartHolder(slice, restarted->identity);
     }
     m_nextPlanAt = m_now;
     runAsLeader();
 }
 
+/// The grants of the earlier process are void, but the latest ones may have reached the new process, which then holds
+/// the keys. So the new process becomes the holder: it can be granted the keys again or release them at once.
+void LeaseController::Private::restartHolder(LeaseSlice &slice, const Identity &restarted)
+{
+    decide(LeaseEvents::HolderUnresponsive, slice.range, fmt::format("{} has restarted", toString(slice.holder)));
+    if (slice.openCall != 0) {
+        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(m_now + SendWithin));
+    }
+    dropToken(slice);
+    slice.holder = restarted;
+    slice.openCall = 0;
+    slice.isReleasing = false;
+    slice.isGranted = false;
+    slice.failures = 0;
+    slice.nextCallAt = m_now;
+    m_isTableStale = true;
+}
+
 bool LeaseController::Private::isExcluded(const Identity &server) const
 {
     const auto found = m_exclusions.find(server);
@@ -188,9 +198,12 @@
     if (slice.fencingToken == 0 || slice.unansweredUntil > m_now) {
         // With a higher fencing token the server rejects every earlier grant that may still arrive.
         slice.fencingToken = (std::uint64_t(m_epoch) << SequenceBits) | ++m_nextSequence;
+        slice.connection = 0;
     }
     LeaseCall call;
     call.command = LeaseCommand::Grant;
+    // A later process of the server must not get the keys under the token of the earlier one.
+    call.connection = slice.connection;
     call.grantDuration = m_settings.grantDuration;
     call.releaseProof = slice.releaseProof;
     call.address = holder->address;
@@ -215,6 +228,12 @@
     send(slice, std::move(call));
 }
 
+void LeaseController::Private::dropToken(LeaseSlice &slice)
+{
+    slice.fencingToken = 0;
+    slice.connection = 0;
+}
+
 void LeaseController::Private::send(LeaseSlice &slice, LeaseCall call)
 {
     call.service = m_settings.service;
@@ -240,7 +259,7 @@
                        slice.target->name));
     slice.holder = *slice.target;
     slice.target.reset();
-    slice.fencingToken = 0;
+    dropToken(slice);
     slice.failures = 0;
     slice.isGranted = false;
     slice.isReleasing = false;
@@ -288,6 +307,7 @@
         }
         slice.isGranted = true;
         slice.grantedUntil = event.sentAt + m_settings.grantDuration;
+        slice.connection = event.connection;
         slice.holdsUntil = grantEnd(event.sentAt);
         slice.unansweredUntil = {};
         slice.failures = 0;
@@ -298,12 +318,17 @@
                fmt::format("{} has seen a higher fencing token than {}", slice.holder.name, event.call.fencingToken));
         m_isConfirmed = false;
         m_nextReadAt = m_now;
-        slice.fencingToken = 0;
+        dropToken(slice);
         slice.nextCallAt = m_now + RetryInterval;
         return;
     case LeaseCallStatus::Late:
         slice.nextCallAt = m_now + LateRetryInterval;
         return;
+    case LeaseCallStatus::Reconnected:
+        dropToken(slice);
+        slice.nextCallAt = m_now;
+        sendDueCall(slice);
+        return;
     case LeaseCallStatus::Unknown:
         slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.sentAt));
         break;
@@ -320,10 +345,11 @@
             exclusion.until = m_now + exclusion.length;
         }
         m_nextPlanAt = m_now;
-        decide(LeaseEvents::HolderUnresponsive, slice.range,
-               fmt::format(
-                   "{} does not answer: {}; it may hold the range for {} ms more", slice.holder.name, event.detail,
-                   duration_cast<milliseconds>(std::max(slice.holdsUntil, slice.unansweredUntil) - m_now).count()));
+        decide(
+            LeaseEvents::HolderUnresponsive, slice.range,
+            fmt::format("{} does not answer: {}; it may hold the range for {} ms more", slice.holder.name, event.detail,
+                        duration_cast<milliseconds>(std::max({m_now, slice.holdsUntil, slice.unansweredUntil}) - m_now)
+                            .count()));
     }
 }
 
@@ -363,7 +389,7 @@
     m_slices.join(
         [&](const LeaseSlice &a, const LeaseSlice &b) { return a.holder == b.holder && isQuiet(a) && isQuiet(b); },
         [&](LeaseSlice &it) {
-            it.fencingToken = 0;
+            dropToken(it);
             it.nextCallAt = m_now;
         });
 }
--- a/src/leases/slices_p.h
+++ b/src/leases/slices_p.h
@@ -29,6 +29,8 @@
     /// Latest end of a grant that an earlier leader may have given to the target.
     Instant targetHoldsUntil{};
     std::uint64_t fencingToken = 0;
+    /// Connection over which the holder accepted the fencing token; 0 if it has not yet.
+    std::uint64_t connection = 0;
     /// The holder acknowledged a grant of this leader that has not expired.
     bool isGranted = false;
     bool isReleasing = false;
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -360,7 +360,7 @@
     const auto boot = daemon.identity.boot;
     ++daemon.calls;
     const auto sentAt = std::max(now, daemon.callsDoneAt);
-    auto reply = std::make_shared<LeaseReplyEvent>(LeaseReplyEvent{call, sentAt, LeaseCallStatus::Unknown, {}});
+    auto reply = std::make_shared<LeaseReplyEvent>(LeaseReplyEvent{call, sentAt});
     const auto answer = [this, index, boot, reply](Duration delay) {
         schedule(delay, [this, index, boot, reply] {
             if (daemons[index].identity.boot == boot) {
@@ -374,46 +374,69 @@
         return;
     }
     daemon.callsDoneAt = sentAt + duration_cast<Duration>(std::chrono::duration<double>(1 / m_callsPerSecond));
-    schedule(sentAt - now, [this, call, reply, answer] { sendCallNow(call, reply, answer); });
+    schedule(sentAt - now, [this, boot, reply, answer] { sendCallNow(boot, reply, answer); });
 }
 
-void LeaseSimulation::sendCallNow(const LeaseCall &call, const std::shared_ptr<LeaseReplyEvent> &reply,
+bool LeaseSimulation::connect(std::uint64_t daemonBoot, LeaseReplyEvent &reply, const Identity &process)
+{
+    auto &connection = m_connections[{daemonBoot, reply.call.address}];
+    const bool isNew = connection.process != process || (reconnectShare > 0 && uniform() < reconnectShare);
+    const auto wanted = reply.call.connection;
+    if (wanted != 0 && (isNew || wanted != connection.number)) {
+        reply.status = LeaseCallStatus::Reconnected;
+        return false;
+    }
+    if (isNew) {
+        connection = {connection.number + 1, process};
+    }
+    reply.connection = connection.number;
+    return true;
+}
+
+void LeaseSimulation::sendCallNow(std::uint64_t daemonBoot, const std::shared_ptr<LeaseReplyEvent> &reply,
                                   const std::function<void(Duration)> &answer)
 {
+    const auto &call = reply->call;
     const auto *state = serverAt(call.address);
     if (!state || !state->server.isUp || !state->server.isReachable) {
         answer(CallTimeout);
         return;
     }
+    if (!connect(daemonBoot, *reply, state->process)) {
+        answer(NetworkDelay);
+        return;
+    }
     const auto arrivedAt = now + NetworkDelay;
     if (state->server.grantDelay > Duration::zero()) {
         answer(CallTimeout);
         if (call.command == LeaseCommand::Grant) {
-            schedule(state->server.grantDelay, [this, call] {
+            schedule(state->server.grantDelay, [this, call, process = state->process] {
                 LeaseReplyEvent ignored;
-                applyCall(now, call, ignored);
+                applyCall(now, process, call, ignored);
             });
         }
         return;
     }
     if (call.command == LeaseCommand::Grant && uniform() < lateGrantShare) {
         answer(CallTimeout);
-        schedule(milliseconds(static_cast<int>(1'000 + 5'000 * uniform())), [this, arrivedAt, call] {
-            LeaseReplyEvent ignored;
-            applyCall(arrivedAt, call, ignored);
-        });
+        schedule(milliseconds(static_cast<int>(1'000 + 5'000 * uniform())),
+                 [this, arrivedAt, call, process = state->process] {
+                     LeaseReplyEvent ignored;
+                     applyCall(arrivedAt, process, call, ignored);
+                 });
         return;
     }
-    schedule(NetworkDelay, [this, arrivedAt, reply, answer] {
-        applyCall(arrivedAt, reply->call, *reply);
+    schedule(NetworkDelay, [this, arrivedAt, reply, answer, process = state->process] {
+        applyCall(arrivedAt, process, reply->call, *reply);
         answer(reply->status == LeaseCallStatus::Unknown ? CallTimeout : NetworkDelay);
     });
 }
 
-void LeaseSimulation::applyCall(Instant arrivedAt, const LeaseCall &call, LeaseReplyEvent &reply)
+void LeaseSimulation::applyCall(Instant arrivedAt, const Identity &process, const LeaseCall &call,
+                                LeaseReplyEvent &reply)
 {
     auto *state = serverAt(call.address);
-    if (!state || !state->server.isUp) {
+    if (!state || !state->server.isUp || state->process != process) {
         return;
     }
     if (call.command == LeaseCommand::Release) {
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -120,6 +120,8 @@
     /// Share of grants that take effect up to 6 s later and get no answer.
     double lateGrantShare = 0;
     double lostPeerMessageShare = 0;
+    /// Share of lease calls for which the connection to the server is opened anew.
+    double reconnectShare = 0;
     std::vector<Daemon> daemons;
     std::vector<ServerState> servers;
     /// First case of two holders of a position or of a fencing token that did not increase; empty for none.
@@ -133,9 +135,12 @@
     void write(std::size_t daemon, const WriteObjectAction &action);
     void read(std::size_t daemon, const ReadObjectAction &action);
     void sendCall(std::size_t daemon, const LeaseCall &call);
-    void sendCallNow(const LeaseCall &call, const std::shared_ptr<LeaseReplyEvent> &reply,
+    void sendCallNow(std::uint64_t daemonBoot, const std::shared_ptr<LeaseReplyEvent> &reply,
                      const std::function<void(Duration)> &answer);
-    void applyCall(Instant arrivedAt, const LeaseCall &call, LeaseReplyEvent &reply);
+    /// Chooses the connection for a call; false if the call must not go over it.
+    bool connect(std::uint64_t daemonBoot, LeaseReplyEvent &reply, const Identity &process);
+    /// Carries a call out at the process that received it, unless that has ended.
+    void applyCall(Instant arrivedAt, const Identity &process, const LeaseCall &call, LeaseReplyEvent &reply);
     void sendPeer(std::size_t daemon, const SendPeerAction &action);
     void schedule(Duration delay, std::function<void()> action);
     /// Passes a response of the store on, after the event of its era if that is new to the daemon.
@@ -167,6 +172,13 @@
     };
     std::vector<SavedStore> m_saved{{Instant(), std::nullopt, 1}};
     std::uint64_t m_nextBoot = 100;
+    /// Latest connection of a daemon's process to an address.
+    struct Connection
+    {
+        std::uint64_t number = 0;
+        Identity process;
+    };
+    std::map<std::pair<std::uint64_t, std::string>, Connection> m_connections;
 };
 
 }
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -96,6 +96,20 @@
     }
 }
 
+// Guards against keys that lose their holder because a connection to it was opened anew.
+TEST(LeasesTest, KeysStayWithTheirHoldersOverNewConnections)
+{
+    const auto simulation = stableSimulation();
+    const auto moves = simulation->releasedRanges;
+    simulation->reconnectShare = 0.3;
+    for (int n = 0; n < 50; ++n) {
+        simulation->run(milliseconds(100));
+        EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << n;
+    }
+    EXPECT_EQ(simulation->releasedRanges, moves);
+    EXPECT_EQ(simulation->violation, "");
+}
+
 // A grant arrives at the moment at which its sender gives it up. Guards against a bound on the arrival that is shorter
 // than the time for which a call is kept (OWNER).
 TEST(LeasesTest, GrantThatArrivesWhenItIsGivenUpHasNoSecondHolder)
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -102,6 +102,13 @@
     return static_cast<Attempt *>(userData)->hooks.readBody(out, size * n);
 }
 
+bool isOnNewConnection(CURL *handle)
+{
+    long newConnections = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &newConnections);
+    return newConnections > 0;
+}
+
 /// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
 /// the response. This callback runs before each transmission and aborts the second one.
 int prereqCallback(void *userData, char *, char *, int, int)
@@ -111,6 +118,9 @@
         attempt->resendStopped = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (attempt->hooks.beforeSend && !attempt->hooks.beforeSend(isOnNewConnection(attempt->handle))) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     ++attempt->sends;
     return CURL_PREREQFUNC_OK;
 }
@@ -301,9 +311,7 @@
         result.complete = code == CURLE_OK && attempt->headDelivered;
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         result.resendStopped = attempt->resendStopped;
-        long newConnections = 0;
-        curl_easy_getinfo(attempt->handle, CURLINFO_NUM_CONNECTS, &newConnections);
-        result.isNewConnection = newConnections > 0;
+        result.isNewConnection = isOnNewConnection(attempt->handle);
         result.status = attempt->status;
         result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
         updateIdleLimit(*attempt);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -56,6 +56,9 @@
 /// Hooks of one attempt. All run on the thread that drives the UpstreamClient.
 struct AttemptHooks
 {
+    /// Called when a connection has been chosen, right before the request is sent; `isNewConnection`: it was opened for
+    /// this attempt. False ends the attempt as not sent and closes the connection. May be empty.
+    std::function<bool(bool isNewConnection)> beforeSend;
     /// Head of the response, before any data. False ends the attempt as failed and closes its connection.
     std::function<bool(unsigned status, std::vector<HeaderField> headers)> onHead;
     std::function<DataResult(const char *bytes, std::size_t n)> onData;
