--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -160,8 +160,9 @@
     Duration renewEvery = milliseconds(500);
     /// Fraction by which a server's clock may run slower than the clock of this daemon.
     double clockDrift = 0.02;
-    /// Longest time from the sending of a lease call to its arrival.
-    Duration deliveryAllowance = milliseconds(200);
+    /// Longest time from the sending of a lease call to its arrival: the socket discards what is not acknowledged 250
+    /// ms after it was sent (discardUnsent), and the rest is for bytes on their way.
+    Duration deliveryAllowance = milliseconds(300);
     /// A leader that could not write its record for this long stops sending lease calls. Long enough for an outage
     /// of the store, since no other daemon can take over during one.
     Duration leadershipTimeout = seconds(15);
--- a/src/base/sockets_p.h
+++ b/src/base/sockets_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include <curl/curl.h>
 
 namespace Galenarock
@@ -9,4 +11,12 @@
 /// without power or behind a partition sends no reset, and a kept connection may go silent while new ones work.
 int detectSilence(void *, curl_socket_t fd, curlsocktype purpose);
 
+/// Time after which discardUnsent() gives up bytes that the other end has not acknowledged.
+inline constexpr std::chrono::milliseconds DiscardAfter{250};
+
+/// For CURLOPT_SOCKOPTFUNCTION, where a late request does harm: as detectSilence(), and nothing arrives any more
+/// DiscardAfter after it was sent, or once the connection or the process is closed. Otherwise the kernel would go on
+/// sending what the socket still holds for as long as a partition lasts.
+int discardUnsent(void *, curl_socket_t fd, curlsocktype purpose);
+
 }
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "base/sockets_p.h"
 #include "leases/events_p.h"
 #include "proxy/headerfields_p.h"
 
@@ -12,6 +13,7 @@
 {
 /// Servers answer a grant at once; the short timeout lets the leader detect an unresponsive server early.
 constexpr std::int64_t GrantTimeoutMs = 250;
+static_assert(milliseconds(GrantTimeoutMs) <= DiscardAfter, "LeaseSettings::deliveryAllowance assumes this");
 constexpr std::int64_t ConnectTimeoutMs = 250;
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
@@ -52,7 +54,7 @@
     const bool isPosted = m_thread.post([this, call](UpstreamClient &upstream) { start(upstream, call); });
     if (!isPosted) {
         m_metrics.counter("galenarock_orders_total", "result=\"ring-full\"").add();
-        m_onReply({call, MonotonicClock::now(), LeaseCallStatus::Late, {}, "too many lease calls are queued"});
+        m_onReply({call, MonotonicClock::now(), LeaseCallStatus::Late, 0, {}, "too many lease calls are queued"});
     }
 }
 
@@ -82,6 +84,7 @@
     request.bodySize = static_cast<std::int64_t>(pending->http.body.size());
     request.timeoutMs = call.command == LeaseCommand::Release ? ReleaseTimeoutMs : GrantTimeoutMs;
     request.connectTimeoutMs = ConnectTimeoutMs;
+    request.discardsUnsent = true;
     AttemptHooks hooks;
     hooks.beforeSend = [this, pending](bool isNewConnection) {
         return mayGoOver(*pending, isNewConnection);
@@ -106,6 +109,11 @@
 {
     auto &reply = pending.reply;
     auto &connection = m_connections[reply.call.address];
+    reply.sentAt = MonotonicClock::now();
+    if (reply.sentAt > reply.call.sendBefore) {
+        reply.status = LeaseCallStatus::Late;
+        return false;
+    }
     if (isNewConnection && reply.call.connection != 0) {
         logEvent(LeaseEvents::CallReconnected, "{} needs a new connection and a new token", describe(reply.call));
         reply.status = LeaseCallStatus::Reconnected;
@@ -125,7 +133,7 @@
         if (reply.status != LeaseCallStatus::Accepted) {
             reply.detail = fmt::format("HTTP status {}", pending.status);
         }
-    } else if (reply.status != LeaseCallStatus::Reconnected) {
+    } else if (reply.status == LeaseCallStatus::NotSent) {
         reply.detail = fmt::format("{} on {} connection", result.error, result.isNewConnection ? "a new" : "a kept");
         reply.status = result.sent ? LeaseCallStatus::Unknown : LeaseCallStatus::NotSent;
         const auto age = duration_cast<milliseconds>(MonotonicClock::now() - reply.sentAt).count();
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -5,6 +5,9 @@
 #include <mutex>
 #include <optional>
 
+#include <netinet/tcp.h>
+
+#include "base/sockets_p.h"
 #include "gateway/leasecaller_p.h"
 #include "proxy/tests/rawserver.h"
 
@@ -160,6 +163,18 @@
     EXPECT_EQ(server.end(), SilentServer::End::Reset);
 }
 
+// Guards against a socket that keeps the bytes of a call while its process is suspended and cannot give the call up.
+TEST(SocketsTest, UnacknowledgedBytesAreDiscarded)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(discardUnsent(nullptr, fd, CURLSOCKTYPE_IPCXN), CURL_SOCKOPT_OK);
+    unsigned timeoutMs = 0;
+    socklen_t n = sizeof timeoutMs;
+    ASSERT_EQ(getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, &n), 0);
+    EXPECT_EQ(timeoutMs, DiscardAfter.count());
+    close(fd);
+}
+
 // Guards against a grant that never ends because the reply's body does not.
 TEST_F(LeaseCallerTest, ReplyWithoutEndTimesOut)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -209,7 +209,7 @@
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(attempt->request.connectTimeoutMs));
-    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, detectSilence);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, attempt->request.discardsUnsent ? discardUnsent : detectSilence);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleLimit(attempt->request.url));
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, attempt->request.keepsConnection ? 0L : 1L);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(attempt->request.timeoutMs));
