--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -373,6 +373,11 @@
         answer(sentAt - now);
         return;
     }
+    if (!daemon.reachesServers) {
+        reply->status = LeaseCallStatus::NotSent;
+        answer(CallTimeout);
+        return;
+    }
     daemon.callsDoneAt = sentAt + duration_cast<Duration>(std::chrono::duration<double>(1 / m_callsPerSecond));
     schedule(sentAt - now, [this, boot, reply, answer] { sendCallNow(boot, reply, answer); });
 }
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -85,6 +85,8 @@
         bool isSuspended = false;
         bool reachesStore = true;
         bool reachesPeers = true;
+        /// False while the VM is partitioned from all servers.
+        bool reachesServers = true;
         std::uint16_t cpuPercent = 100;
         /// When it last reached the other daemons, and whether they suspected it at the last look.
         Instant reachedPeersAt{};
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -165,6 +165,18 @@
     EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
 }
 
+// The leader is partitioned from all servers, but not from the other daemons and the store. Guards against a leader that
+// keeps its lead, so that no key has an owner anywhere (RECOVER).
+TEST(LeasesTest, LeaderThatReachesNoServerHandsItsLeadOver)
+{
+    const auto simulation = stableSimulation();
+    simulation->daemons[*simulation->leader()].reachesServers = false;
+    simulation->run(RecoveryLimit);
+    EXPECT_EQ(simulation->leaderCount(), 1U);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 TEST(LeasesTest, StoppedLeaderHandsLeadershipOver)
 {
     const auto simulation = stableSimulation();
