--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -260,10 +260,12 @@
         }
         m_nextRecordAt = m_now + ReadInterval;
         if (event.status == WriteStatus::Unknown) {
+            m_isHandOverUnresolved = m_isHandOverUnresolved || m_writing.leader.name.empty();
             readRecord();
         }
         return;
     }
+    m_isHandOverUnresolved = false;
     m_record = m_writing;
     m_recordVersion = event.current.version;
     m_recordEra = event.current.era;
@@ -282,6 +284,11 @@
     }
 }
 
+bool LeaseController::Private::mayBeHandedOver() const
+{
+    return m_isHandOverUnresolved || (m_openWrite != 0 && m_writing.leader.name.empty());
+}
+
 void LeaseController::Private::runAsLeader()
 {
     m_slices.expirePossibleHolders(m_now);
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -77,6 +77,8 @@
     void becomeLeader();
     void loseLeadership(const std::string &why);
     void runAsLeader();
+    /// Whether a record without a leader may be in the store, so that a successor takes this daemon for stopped.
+    bool mayBeHandedOver() const;
     void writeRecordIfNeeded();
     void writeRecord(const LeaseRecord &record);
     LeaseRecord wantedRecord() const;
@@ -178,6 +180,8 @@
     std::uint64_t m_restoredEra = 0;
     /// The write in flight restores a record that the store has lost.
     bool m_isRestoringRecord = false;
+    /// A write that hands the lead over got no answer, and no later write has replaced it.
+    bool m_isHandOverUnresolved = false;
     /// Earlier leaders that may still send lease calls, and the latest end of their grants.
     std::vector<Identity> m_former;
     Instant m_formerGrantsEndAt{};
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -166,7 +166,7 @@
             finishRelease(slice, true);
         }
     }
-    if (slice.openCall != 0 || m_now < slice.nextCallAt) {
+    if (slice.openCall != 0 || m_now < slice.nextCallAt || mayBeHandedOver()) {
         return;
     }
     if (slice.target) {
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -354,6 +354,12 @@
     }
 }
 
+bool LeaseSimulation::reachesServerAt(const Daemon &daemon, const std::string &address) const
+{
+    return std::none_of(daemon.unreachedServers.begin(), daemon.unreachedServers.end(),
+                        [&](std::size_t it) { return servers[it].entry.address == address; });
+}
+
 void LeaseSimulation::sendCall(std::size_t index, const LeaseCall &call)
 {
     auto &daemon = daemons[index];
@@ -373,7 +379,7 @@
         answer(sentAt - now);
         return;
     }
-    if (!daemon.reachesServers) {
+    if (!daemon.reachesServers || !reachesServerAt(daemon, call.address)) {
         reply->status = LeaseCallStatus::NotSent;
         answer(CallTimeout);
         return;
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,8 @@
         bool reachesPeers = true;
         /// False while the VM is partitioned from all servers.
         bool reachesServers = true;
+        /// Servers from which alone it is partitioned.
+        std::set<std::size_t> unreachedServers;
         std::uint16_t cpuPercent = 100;
         /// When it last reached the other daemons, and whether they suspected it at the last look.
         Instant reachedPeersAt{};
@@ -137,6 +140,7 @@
     void write(std::size_t daemon, const WriteObjectAction &action);
     void read(std::size_t daemon, const ReadObjectAction &action);
     void sendCall(std::size_t daemon, const LeaseCall &call);
+    bool reachesServerAt(const Daemon &daemon, const std::string &address) const;
     void sendCallNow(std::uint64_t daemonBoot, const std::shared_ptr<LeaseReplyEvent> &reply,
                      const std::function<void(Duration)> &answer);
     /// Chooses the connection for a call; false if the call must not go over it.
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -165,8 +165,8 @@
     EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
 }
 
-// The leader is partitioned from all servers, but not from the other daemons and the store. Guards against a leader that
-// keeps its lead, so that no key has an owner anywhere (RECOVER).
+// The leader is partitioned from all servers, but not from the other daemons and the store. Guards against a leader
+// that keeps its lead, so that no key has an owner anywhere (RECOVER).
 TEST(LeasesTest, LeaderThatReachesNoServerHandsItsLeadOver)
 {
     const auto simulation = stableSimulation();
@@ -188,6 +188,31 @@
     EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
 }
 
+// A planned stop: the write that hands the lead over takes effect, but its answer is lost and the store stays away for
+// this daemon. Guards against a former leader that goes on renewing grants at a server that its successor does not
+// reach, while the successor takes it for stopped and moves the keys after one grant (OWNER).
+TEST(LeasesTest, LeaderSendsNoCallsOnceItsHandOverMayHaveTakenEffect)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto simulation = stableSimulation(seed); // decides when the write takes effect
+        const auto before = *simulation->leader();
+        for (std::size_t n = 0; n < simulation->daemons.size(); ++n) {
+            if (n != before) {
+                simulation->daemons[n].unreachedServers = {1};
+            }
+        }
+        simulation->daemons[before].unreachedServers = {0, 2, 3, 4};
+        simulation->unansweredWriteShare = 1;
+        simulation->stopDaemon(before);
+        simulation->run(milliseconds(10));
+        simulation->unansweredWriteShare = 0;
+        simulation->daemons[before].reachesStore = false;
+        simulation->daemons[before].reachesPeers = false;
+        simulation->run(seconds(8));
+        EXPECT_EQ(simulation->violation, "") << seed;
+    }
+}
+
 // Guards against a leader that was suspended and then sends lease calls based on its outdated state.
 TEST(LeasesTest, ResumedFormerLeaderStepsDown)
 {
