--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -25,8 +25,10 @@
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
 #include <galenarock/serverlimits.h>
+#include <galenarock/serverreach.h>
 #include <galenarock/settings.h>
 #include <galenarock/sharedserverlimits.h>
+#include <galenarock/sharedserverreach.h>
 #include <galenarock/shedthrottle.h>
 #include <galenarock/storeclient.h>
 #include <galenarock/suspects.h>
--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -103,10 +103,13 @@
     double seconds = 0;
     std::vector<std::pair<KeyHash, std::uint32_t>> positions;
     std::vector<ServerUse> servers;
+    /// A server of any service has answered the daemon a moment ago.
+    bool hasServerContact = false;
 
     friend bool operator==(const KeyLoad &a, const KeyLoad &b)
     {
-        return a.service == b.service && a.seconds == b.seconds && a.positions == b.positions && a.servers == b.servers;
+        return a.service == b.service && a.seconds == b.seconds && a.positions == b.positions && a.servers == b.servers
+            && a.hasServerContact == b.hasServerContact;
     }
 };
 
@@ -170,6 +173,8 @@
     Duration announceEvery = milliseconds(150);
     /// Time without a message from the leader after which another daemon takes over.
     Duration takeoverAfter = milliseconds(650);
+    /// Additional delay for a daemon that reaches no server, so that one that does comes first.
+    Duration unreachableTakeoverDelay = seconds(2);
     /// Additional delay for each daemon that comes earlier in the takeover order.
     Duration takeoverStagger = milliseconds(150);
     /// Bytes per second that the leader uses for sending its table; a fifth of a link of 10 Mbit/s. When the table
@@ -265,6 +270,10 @@
     /// Requests per second that servers state as their limit. The next plan moves keys accordingly.
     void setRequestRates(std::map<Identity, double> rates);
 
+    /// Whether this VM reaches servers at all. A leader that does not hands its lead over when another daemon reports
+    /// contact, and a follower that does not takes the lead only when no other daemon does.
+    void setReachesServers(bool reachesServers);
+
     bool isLeader() const;
     /// After a StopEvent: leadership was handed over, or there was none to hand over.
     bool isHandedOver() const;
--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -15,6 +15,7 @@
 #include <galenarock/requestdialect.h>
 #include <galenarock/routing.h>
 #include <galenarock/sharedserverlimits.h>
+#include <galenarock/sharedserverreach.h>
 #include <galenarock/sharedsuspects.h>
 #include <galenarock/uncheckedpools.h>
 
@@ -147,6 +148,10 @@
     {
         return m_serverLimits;
     }
+    SharedServerReach &serverReach()
+    {
+        return m_serverReach;
+    }
     /// Sets the writer of the request trace, which is used in trials; null when no trace is written. Call before
     /// the workers start.
     void setTrace(TraceWriter *trace)
@@ -174,6 +179,7 @@
     SharedServerLimits m_serverLimits;
     LedgerNode m_ledger;
     SharedSuspects m_suspects;
+    SharedServerReach m_serverReach;
     LoadCollector m_loads;
     UncheckedPools m_uncheckedPools;
     std::atomic<std::uint32_t> m_liveDaemons{1};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -154,6 +154,9 @@
     hooks.requestRates = [this] {
         return shared.serverLimits().rates();
     };
+    hooks.reachesServers = [this] {
+        return !shared.serverReach().isCutOff();
+    };
     hooks.fleetListed = [this] {
         shared.serverLimits().setFleetListed();
     };
@@ -288,8 +291,9 @@
     proxySettings.headerBytes = CallerHeaderBytes;
     proxySettings.serverIdleSeconds = ServerIdleSeconds;
     BOOST_LEAF_CHECK(proxy.start(proxySettings));
-    leaseCaller = std::make_unique<LeaseCaller>(
-        dialect, metrics, [this](LeaseReplyEvent event) { control->post(EventSource::Servers, std::move(event)); });
+    leaseCaller = std::make_unique<LeaseCaller>(dialect, metrics, shared.serverReach(), [this](LeaseReplyEvent event) {
+        control->post(EventSource::Servers, std::move(event));
+    });
     GatewayControlPlaneSettings controlPlaneSettings;
     controlPlaneSettings.self = self;
     controlPlaneSettings.failureDomain = settings.failureDomain;
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -36,9 +36,10 @@
     std::vector<HeaderField> headers;
 };
 
-LeaseCaller::LeaseCaller(const GatewayDialect &dialect, Metrics &metrics, ReplyHook onReply)
+LeaseCaller::LeaseCaller(const GatewayDialect &dialect, Metrics &metrics, SharedServerReach &reach, ReplyHook onReply)
     : m_dialect(dialect)
     , m_metrics(metrics)
+    , m_reach(reach)
     , m_onReply(std::move(onReply))
     , m_thread("orders")
 {
@@ -128,6 +129,7 @@
 {
     auto &reply = pending.reply;
     if (result.complete) {
+        m_reach.answered(MonotonicClock::now());
         m_dialect.decodeLeaseReply(
             pending.status, [&](const char *name) { return fieldOf(pending.headers, name); }, reply);
         if (reply.status != LeaseCallStatus::Accepted) {
@@ -136,6 +138,7 @@
     } else if (reply.status == LeaseCallStatus::NotSent) {
         reply.detail = fmt::format("{} on {} connection", result.error, result.isNewConnection ? "a new" : "a kept");
         reply.status = result.sent ? LeaseCallStatus::Unknown : LeaseCallStatus::NotSent;
+        m_reach.failed(MonotonicClock::now(), reply.call.server);
         const auto age = duration_cast<milliseconds>(MonotonicClock::now() - reply.sentAt).count();
         logEvent(LeaseEvents::CallUnanswered, "{}, {} after {} ms: {}", describe(reply.call),
                  result.sent ? "given up" : "not sent", age, reply.detail);
--- a/src/gateway/leasecaller_p.h
+++ b/src/gateway/leasecaller_p.h
@@ -6,6 +6,7 @@
 
 #include <galenarock/gateway.h>
 #include <galenarock/metrics.h>
+#include <galenarock/sharedserverreach.h>
 
 #include "daemon/callerthread_p.h"
 
@@ -19,7 +20,7 @@
     /// Called on this object's thread.
     using ReplyHook = std::function<void(LeaseReplyEvent)>;
 
-    LeaseCaller(const GatewayDialect &dialect, Metrics &metrics, ReplyHook onReply);
+    LeaseCaller(const GatewayDialect &dialect, Metrics &metrics, SharedServerReach &reach, ReplyHook onReply);
 
     void call(const LeaseCall &call);
     void stop();
@@ -34,6 +35,7 @@
 
     const GatewayDialect &m_dialect;
     Metrics &m_metrics;
+    SharedServerReach &m_reach;
     ReplyHook m_onReply;
     /// Number of the latest connection to each address over which a call was sent.
     std::unordered_map<std::string, std::uint64_t> m_connections;
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -109,6 +109,10 @@
         serversChanged(now);
     }
     joinFleet(now);
+    const bool reachesServers = m_hooks.reachesServers();
+    for (auto &[service, controller] : m_leases) {
+        controller.setReachesServers(reachesServers);
+    }
     sendLoadReports(now);
 }
 
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -31,6 +31,8 @@
     std::function<void(const PeerEvent &)> requestMessage;
     /// Requests per second that servers state as their limit.
     std::function<std::map<Identity, double>()> requestRates;
+    /// Whether any server answers this VM.
+    std::function<bool()> reachesServers;
     /// The list of all daemons has been read from the store.
     std::function<void()> fleetListed;
     std::function<bool()> isStoreReachable;
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -92,7 +92,8 @@
     std::optional<LeaseReplyEvent> reply;
     GatewayDialect dialect = testDialect();
     Metrics metrics;
-    LeaseCaller caller{dialect, metrics, [this](LeaseReplyEvent event) {
+    SharedServerReach reach;
+    LeaseCaller caller{dialect, metrics, reach, [this](LeaseReplyEvent event) {
                            const std::lock_guard lock(mutex);
                            reply = std::move(event);
                            changed.notify_all();
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -276,10 +276,13 @@
     m_isConfirmed = true;
     if (m_role == LeaseRole::Candidate) {
         becomeLeader();
-    } else if (m_isStopping && m_record->leader.name.empty()) {
+    } else if (m_record->leader.name.empty()) {
         m_role = LeaseRole::Follower;
-        m_isHandedOver = true;
-        decide(LeaseEvents::LeadershipHandedOver, {}, fmt::format("epoch {}", m_epoch));
+        m_isHandedOver = m_isStopping;
+        m_leaderHeardAt = m_now;
+        m_slices.clear();
+        decide(LeaseEvents::LeadershipHandedOver, {},
+               fmt::format("epoch {}{}", m_epoch, m_isStopping ? "" : ", since this VM reaches no server"));
         sendPeer({}, LeaseMessage::Stopped, encode(notice()));
     }
 }
@@ -347,7 +350,7 @@
     record.service = m_settings.service;
     record.epoch = m_epoch;
     record.era = m_storeEra;
-    record.leader = m_isStopping ? Identity() : m_settings.self;
+    record.leader = isHandingOver() ? Identity() : m_settings.self;
     record.former = m_former;
     for (const auto &it : m_slices.all()) {
         RecordedRange recorded{it.range, it.holder, it.target.value_or(Identity())};
@@ -369,10 +372,11 @@
     const bool hasChanged = !m_record || !(wanted == *m_record);
     // The end of a move may be recorded with the next periodic write; a new holder must be recorded before its grant.
     const bool isUrgent = hasChanged
-        && (m_isStopping || std::any_of(wanted.ranges.begin(), wanted.ranges.end(), [&](const RecordedRange &it) {
-                              const auto &next = it.next.name.empty() ? it.holder : it.next;
-                              return !next.name.empty() && !isRecorded(it.range, next);
-                          }));
+        && (wanted.leader.name.empty()
+            || std::any_of(wanted.ranges.begin(), wanted.ranges.end(), [&](const RecordedRange &it) {
+                   const auto &next = it.next.name.empty() ? it.holder : it.next;
+                   return !next.name.empty() && !isRecorded(it.range, next);
+               }));
     if (m_now < m_nextRecordAt && !isUrgent) {
         return;
     }
@@ -447,6 +451,11 @@
     m_data->m_requestRates = std::move(rates);
 }
 
+void LeaseController::setReachesServers(bool reachesServers)
+{
+    m_data->m_reachesServers = reachesServers;
+}
+
 bool LeaseController::isLeader() const
 {
     return m_data->m_role == LeaseRole::Leader;
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -43,6 +43,7 @@
     LeaseSlices m_slices;
     /// Requests per second that servers state as their limit.
     std::map<Identity, double> m_requestRates;
+    bool m_reachesServers = true;
 
 private:
     // events
@@ -79,6 +80,8 @@
     void runAsLeader();
     /// Whether a record without a leader may be in the store, so that a successor takes this daemon for stopped.
     bool mayBeHandedOver() const;
+    /// Whether the leader is to write a record without a leader and stop.
+    bool isHandingOver() const;
     void writeRecordIfNeeded();
     void writeRecord(const LeaseRecord &record);
     LeaseRecord wantedRecord() const;
@@ -174,6 +177,8 @@
 
     // leader
     Instant m_leadingSince{};
+    /// Last report of another daemon that a server has answered it.
+    Instant m_otherContactAt{};
     /// Since when all members are alive and there is another one than this daemon; zero while that is not so.
     Instant m_allAliveSince{};
     /// Latest era in which this leader wrote its record again.
--- a/src/leases/keyloads.cpp
+++ b/src/leases/keyloads.cpp
@@ -30,6 +30,7 @@
     auto &sum = m_loads[load.service];
     sum.service = load.service;
     sum.seconds = std::max(sum.seconds, load.seconds);
+    sum.hasServerContact = sum.hasServerContact || load.hasServerContact;
     sum.positions.insert(sum.positions.end(), load.positions.begin(), load.positions.end());
     sum.servers.insert(sum.servers.end(), load.servers.begin(), load.servers.end());
 }
--- a/src/leases/messages.cpp
+++ b/src/leases/messages.cpp
@@ -42,9 +42,10 @@
     double seconds = 0;
     std::vector<std::pair<KeyHash, std::uint32_t>> positions;
     std::vector<WireServer> servers;
+    bool hasServerContact = false;
     template<typename Archive> void serialize(Archive &archive)
     {
-        archive(service, seconds, positions, servers);
+        archive(service, seconds, positions, servers, hasServerContact);
     }
 };
 
@@ -107,7 +108,7 @@
 
 std::string encode(const KeyLoad &load)
 {
-    WireLoad wire{load.service, load.seconds, load.positions, {}};
+    WireLoad wire{load.service, load.seconds, load.positions, {}, load.hasServerContact};
     for (const auto &it : load.servers) {
         wire.servers.push_back({it.server.name, it.server.boot, it.serviceSeconds});
     }
@@ -154,7 +155,7 @@
 Result<KeyLoad> decodeKeyLoad(const std::string &payload)
 {
     BOOST_LEAF_AUTO(wire, decodeMessage<WireLoad>(payload));
-    KeyLoad load{wire.service, wire.seconds, std::move(wire.positions), {}};
+    KeyLoad load{wire.service, wire.seconds, std::move(wire.positions), {}, wire.hasServerContact};
     for (const auto &it : wire.servers) {
         load.servers.push_back({{it.name, it.boot}, it.serviceSeconds});
     }
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -247,8 +247,11 @@
     }
 }
 
-void LeaseController::Private::receiveLoad(const std::string &, const KeyLoad &load)
+void LeaseController::Private::receiveLoad(const std::string &daemon, const KeyLoad &load)
 {
+    if (load.hasServerContact && daemon != m_settings.self.name) {
+        m_otherContactAt = m_now;
+    }
     for (const auto &[position, count] : load.positions) {
         auto &it = m_positions[position];
         const auto age = m_now - it.updatedAt;
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -31,6 +31,8 @@
 /// At the first start of a deployment the ranges are divided once the list of servers is stable, which avoids a move
 /// for each server that registers.
 constexpr Duration FirstDivisionQuiet = milliseconds(500);
+/// Age up to which a report shows that another daemon reaches servers; reports come each 250 ms.
+constexpr Duration ContactReportLifetime = milliseconds(500);
 constexpr Duration FirstDivisionLatest = seconds(3);
 }
 
@@ -58,7 +60,8 @@
     const auto ahead = daemonsAhead();
     const auto steps = std::min(ahead, MaxStaggeredDaemons);
     return m_settings.takeoverAfter + steps * m_settings.takeoverStagger
-        + (ahead > steps ? m_lateTakeoverDelay : Duration());
+        + (ahead > steps ? m_lateTakeoverDelay : Duration())
+        + (m_reachesServers ? Duration() : m_settings.unreachableTakeoverDelay);
 }
 
 /// Daemons far back in the takeover order also need an unchanged record before they take over. Among many small VMs
@@ -271,6 +274,12 @@
     }
 }
 
+bool LeaseController::Private::isHandingOver() const
+{
+    const bool hasSuccessor = m_otherContactAt != Instant() && m_now - m_otherContactAt < ContactReportLifetime;
+    return m_isStopping || (!m_reachesServers && hasSuccessor);
+}
+
 void LeaseController::Private::loseLeadership(const std::string &why)
 {
     decide(LeaseEvents::LeadershipLost, {}, why);
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -13,6 +13,7 @@
 /// Time without contact after which a daemon is suspected.
 constexpr Duration SuspicionTime = milliseconds(1'500);
 constexpr Duration TickTime = milliseconds(50);
+constexpr Duration LoadReportTime = milliseconds(250);
 constexpr Duration NetworkDelay = milliseconds(2);
 constexpr Duration CallTimeout = milliseconds(250);
 constexpr std::size_t PositionCount = 64;
@@ -118,6 +119,7 @@
     auto &daemon = daemons[index];
     daemon.identity = {fmt::format("vm-{}", index), m_nextBoot++};
     daemon.era = 0;
+    daemon.reach = ServerReach();
     daemon.isSuspended = false;
     LeaseSettings settings;
     settings.self = daemon.identity;
@@ -370,6 +372,7 @@
     const auto answer = [this, index, boot, reply](Duration delay) {
         schedule(delay, [this, index, boot, reply] {
             if (daemons[index].identity.boot == boot) {
+                noteReach(index, *reply);
                 deliver(index, *reply);
             }
         });
@@ -388,6 +391,19 @@
     schedule(sentAt - now, [this, boot, reply, answer] { sendCallNow(boot, reply, answer); });
 }
 
+void LeaseSimulation::noteReach(std::size_t index, const LeaseReplyEvent &reply)
+{
+    auto &daemon = daemons[index];
+    if (reply.status == LeaseCallStatus::NotSent || reply.status == LeaseCallStatus::Unknown) {
+        daemon.reach.failed(now, reply.call.server);
+    } else if (reply.status != LeaseCallStatus::Late && reply.status != LeaseCallStatus::Reconnected) {
+        daemon.reach.answered(now);
+    }
+    if (daemon.controller) {
+        daemon.controller->setReachesServers(!daemon.reach.isCutOff());
+    }
+}
+
 bool LeaseSimulation::connect(std::uint64_t daemonBoot, LeaseReplyEvent &reply, const Identity &process)
 {
     auto &connection = m_connections[{daemonBoot, reply.call.address}];
@@ -515,6 +531,9 @@
             }
         }
     }
+    if ((now.time_since_epoch() % LoadReportTime) < StepTime) {
+        addLoad({});
+    }
     checkInvariants();
 }
 
@@ -582,7 +601,7 @@
 {
     for (std::size_t n = 0; n < daemons.size(); ++n) {
         if (daemons[n].controller && !daemons[n].isSuspended) {
-            execute(n, daemons[n].controller->addLoad(now, {"shop", 0.25, positions, {}}));
+            execute(n, daemons[n].controller->addLoad(now, {"shop", 0.25, positions, {}, daemons[n].reachesServers}));
         }
     }
 }
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <galenarock/leases.h>
+#include <galenarock/serverreach.h>
 
 namespace Galenarock
 {
@@ -90,6 +91,7 @@
         bool reachesServers = true;
         /// Servers from which alone it is partitioned.
         std::set<std::size_t> unreachedServers;
+        ServerReach reach;
         std::uint16_t cpuPercent = 100;
         /// When it last reached the other daemons, and whether they suspected it at the last look.
         Instant reachedPeersAt{};
@@ -140,6 +142,7 @@
     void write(std::size_t daemon, const WriteObjectAction &action);
     void read(std::size_t daemon, const ReadObjectAction &action);
     void sendCall(std::size_t daemon, const LeaseCall &call);
+    void noteReach(std::size_t daemon, const LeaseReplyEvent &reply);
     bool reachesServerAt(const Daemon &daemon, const std::string &address) const;
     void sendCallNow(std::uint64_t daemonBoot, const std::shared_ptr<LeaseReplyEvent> &reply,
                      const std::function<void(Duration)> &answer);
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -177,6 +177,45 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// All daemons but one are partitioned from all servers, and know it from their requests. Guards against a lead that
+// goes through the hands of daemons that cannot use it (RECOVER).
+TEST(LeasesTest, LeadGoesToTheDaemonThatReachesServers)
+{
+    LeaseSimulation simulation(1, 6, 5);
+    simulation.run(seconds(3));
+    const auto before = *simulation.leader();
+    const auto only = before == 5 ? 4 : 5;
+    for (std::size_t n = 0; n < simulation.daemons.size(); ++n) {
+        simulation.daemons[n].reachesServers = n == only;
+        if (n != only && n != before) {
+            simulation.daemons[n].controller->setReachesServers(false);
+        }
+    }
+    simulation.run(RecoveryLimit);
+    EXPECT_EQ(simulation.leader(), only);
+    EXPECT_EQ(simulation.servedPositions(), positionCount(simulation));
+    EXPECT_EQ(simulation.violation, "");
+}
+
+// No daemon reaches a server. Guards against a lead that is given away in turn, and against keys that stay unserved
+// when the servers can be reached again.
+TEST(LeasesTest, KeysAreServedAgainAfterAllDaemonsLostTheServers)
+{
+    const auto simulation = stableSimulation();
+    for (auto &it : simulation->daemons) {
+        it.reachesServers = false;
+    }
+    simulation->run(seconds(10));
+    const auto epoch = simulation->daemons[*simulation->leader()].controller->epoch();
+    EXPECT_LT(epoch, 10U);
+    for (auto &it : simulation->daemons) {
+        it.reachesServers = true;
+    }
+    simulation->run(RecoveryLimit);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 TEST(LeasesTest, StoppedLeaderHandsLeadershipOver)
 {
     const auto simulation = stableSimulation();
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -17,6 +17,9 @@
 inline constexpr EventType RequestSentLate{209, Severity::Info, "request-sent-late"};
 inline constexpr EventType ServerRateChanged{210, Severity::Info, "server-rate-changed"};
 inline constexpr EventType ServerRateSummary{211, Severity::Info, "server-rate-summary"};
+inline constexpr EventType ServersLost{212, Severity::Warning, "servers-lost"};
+inline constexpr EventType ServersReached{213, Severity::Info, "servers-reached"};
+inline constexpr EventType RequestRelayed{214, Severity::Info, "request-relayed"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -125,6 +125,7 @@
     /// Reason for which an attempt has no response that can be passed on.
     static Reason failureOf(const PendingRequest &request, const AttemptResult &result);
     void recordAttempt(PendingRequest &request, const AttemptResult &result, Reason reason);
+    void noteReach(const PendingRequest &request, const AttemptResult &result);
     void reportLostConnection(const PendingRequest &request);
     void retryOrRefuse(const Pending &request, const Refusal &refusal, const AttemptResult &result);
     void handleExchangeEnd(const Pending &request, bool complete);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -174,6 +174,7 @@
         const bool mayStillRun = result.sent && !result.complete;
         m_shared.uncheckedPools().leave(std::exchange(request.uncheckedTicket, 0), mayStillRun);
     }
+    noteReach(request, result);
     const auto latency = m_now - request.attemptStartedAt;
     request.traffic->observations.finished(m_now, request.handle,
                                            {attemptEndOf(reason, request.responseStatus), latency,
@@ -186,6 +187,16 @@
     }
 }
 
+/// The head of a response shows that this VM reaches the server, whatever the response says.
+void RequestHandler::noteReach(const PendingRequest &request, const AttemptResult &result)
+{
+    if (request.responseStatus != 0) {
+        m_shared.serverReach().answered(m_now);
+    } else if (!result.complete) {
+        m_shared.serverReach().failed(m_now, request.serverIdentity);
+    }
+}
+
 void RequestHandler::reportLostConnection(const PendingRequest &request)
 {
     m_shared.suspects().connectionLost(
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -438,6 +438,7 @@
         }
         auto load = it->keyLoad.take();
         load.service = name;
+        load.hasServerContact = m_shared.serverReach().hasContact(m_now);
         load.seconds = std::chrono::duration<double>(KeyLoadInterval).count();
         const auto &servers = it->route->servers();
         if (it->reportedServiceSeconds.size() > 2 * servers.size()) {
