--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -18,6 +18,7 @@
 #include <galenarock/placement.h>
 #include <galenarock/platform.h>
 #include <galenarock/proxy.h>
+#include <galenarock/relays.h>
 #include <galenarock/replay.h>
 #include <galenarock/requests.h>
 #include <galenarock/retry.h>
--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -11,6 +11,7 @@
 #include <galenarock/loadreport.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
+#include <galenarock/relays.h>
 #include <galenarock/replay.h>
 #include <galenarock/requestdialect.h>
 #include <galenarock/routing.h>
@@ -29,7 +30,7 @@
 public:
     ProxyShared(Metrics &metrics, Identity self, PeerKey peerKey)
         : m_metrics(metrics)
-        , m_peerKey(peerKey)
+        , m_peerKey(std::make_shared<const PeerKey>(peerKey))
         , m_serverLimits(metrics, self.name, randomNonce())
         , m_ledger(std::move(self))
     {
@@ -77,9 +78,18 @@
     {
         m_workers = n;
     }
-    const PeerKey &peerKey() const
+    PeerKey peerKey() const
     {
-        return m_peerKey;
+        return *std::atomic_load_explicit(&m_peerKey, std::memory_order_acquire);
+    }
+    /// Sets the key that authenticates requests between daemons. Thread-safe.
+    void setPeerKey(const PeerKey &key)
+    {
+        std::atomic_store_explicit(&m_peerKey, std::make_shared<const PeerKey>(key), std::memory_order_release);
+    }
+    SharedRelays &relays()
+    {
+        return m_relays;
     }
     LedgerNode &ledger()
     {
@@ -175,7 +185,8 @@
 
 private:
     Metrics &m_metrics;
-    const PeerKey m_peerKey;
+    std::shared_ptr<const PeerKey> m_peerKey;
+    SharedRelays m_relays;
     SharedServerLimits m_serverLimits;
     LedgerNode m_ledger;
     SharedSuspects m_suspects;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,6 +178,7 @@
     store->setDaemonCount(static_cast<std::size_t>(live));
     peers->setMembers(members);
     shared.serverLimits().setMembers(MonotonicClock::now(), members);
+    shared.relays().setMembers(self, settings.failureDomain, members);
     const std::lock_guard lock(m_membersMutex);
     m_members = members;
 }
@@ -262,6 +263,7 @@
             BOOST_LEAF_ASSIGN(peers, PeerTransport::open(transport, metrics, [this](PeerEvent event) {
                                   receivePeerMessage(std::move(event));
                               }));
+            shared.setPeerKey(transport.key);
             m_openPeers.store(peers.get());
             logEvent(Events::PeersOpened, "{}", peers->address());
             return peers->address();
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include <galenarock/ledger.h>
+#include <galenarock/relays.h>
 #include <galenarock/retry.h>
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
@@ -48,8 +49,21 @@
     std::string requestId;
     std::optional<RequestId> id;
     bool idempotent = false;
-    /// The request was forwarded by another daemon because this daemon is the ledger owner of the request id.
+    /// The request was forwarded by another daemon: because this daemon is the ledger owner of the request id, or
+    /// because that daemon does not reach the servers.
     bool viaPeer = false;
+    /// False for a request that was relayed by another daemon: it is not relayed again.
+    bool mayRelay = true;
+    RelayedRequest relayed;
+    /// VM through which the current attempt goes; empty for an attempt at a server.
+    Relay relay;
+    std::vector<std::string> triedRelays;
+    /// Time until the request can succeed at the earliest, as the relay stated it, in milliseconds.
+    std::int64_t relayUntilMs = 0;
+    /// Server to which this VM could not connect, which is why the request is relayed; empty if there is none.
+    Identity unreachedServer;
+    /// Attempts of which a byte may have reached a server.
+    std::uint32_t sentAttempts = 0;
     /// The id is in flight in this daemon's ledger, so the outcome must be recorded there.
     bool inLedger = false;
     /// The request is forwarded to the daemon that is the ledger owner of its id, instead of to a server.
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -337,8 +337,10 @@
 
 void RequestHandler::startAttempt(const Pending &request, const std::string &url)
 {
-    request->plan->started();
-    request->traffic->attempts.add();
+    if (request->relay.vm.empty()) {
+        request->plan->started();
+        request->traffic->attempts.add();
+    }
     AttemptRequest attempt;
     attempt.method = request->method;
     attempt.url = url;
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -64,6 +65,22 @@
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
     void startStreaming(const Pending &request);
+    // requests through other VMs (relaying.cpp)
+    /// Reads whether another VM relays the request, and what it tells.
+    void readRelay(PendingRequest &request, const Exchange &exchange) const;
+    bool mayRelay(const PendingRequest &request) const;
+    /// Relays or refuses the request if this VM reaches no server; false if it does, or the request may try.
+    bool dispatchWithoutServers(const Pending &request);
+    /// Relays a request for which no connection to its server could be opened; false if that is of no use.
+    bool relayAfterFailedConnection(const Pending &request);
+    bool relay(const Pending &request, std::string_view why);
+    void addRelayHeaders(const PendingRequest &request, std::vector<std::string> &lines) const;
+    static bool readRelayRefusal(PendingRequest &request, const std::vector<HeaderField> &headers);
+    static void addRelayOutcome(const PendingRequest &request, const Refusal &refusal,
+                                std::vector<HeaderField> &headers);
+    /// Another VM could not connect to the server either.
+    void noteServerDown(const Identity &server);
+    void handleRelayDone(const Pending &request, const AttemptResult &result);
     // servers that state a request rate (permits.cpp)
     /// Whether the request may be sent to the server now. Otherwise it waits for a permit, goes to another server, or
     /// is refused.
@@ -159,6 +176,8 @@
         Pending request;
     };
     std::vector<PermitQuestion> m_waitingForPermit;
+    /// Servers to which another VM could not connect either, and until when no request for them is relayed.
+    std::map<Identity, Instant> m_unreachableServers;
     /// Snapshot as of the last run; a newer one triggers a retry of m_waitingForOwner.
     std::shared_ptr<const RoutingSnapshot> m_retriedSnapshot;
     std::mt19937_64 m_random;
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -99,16 +99,22 @@
     request.idempotent = request.rule->repeatability == Repeatability::Idempotent;
     const auto limitMs = std::min(info.deadlineMs.value_or(request.rule->timeoutMs), request.rule->timeoutMs);
     request.deadline = request.arrivedAt + milliseconds(limitMs);
+    readRelay(request, exchange);
     if (request.traffic->route->document().distribution == Distribution::Keyed) {
         if (!info.position) {
             return {Reason::MissingKey, Outcome::NotRun, "the service needs a key", 0};
         }
         request.hash = *info.position;
-        request.traffic->keyLoad.count(request.hash);
+        if (!request.viaPeer) {
+            request.traffic->keyLoad.count(request.hash);
+        }
     }
     collectRoutedHeaders(request, exchange);
     auto retry = request.traffic->route->document().retry;
     retry.maxAttempts = std::max(1U, request.rule->maxAttempts);
+    if (request.viaPeer) {
+        retry.maxAttempts = std::min(retry.maxAttempts, request.relayed.attempts);
+    }
     request.plan.emplace(retry, request.idempotent, request.deadline);
     return classifyRoutedBody(request, exchange);
 }
@@ -131,7 +137,7 @@
     const auto connection = std::string(exchange.header("Connection"));
     for (const auto &it : exchange.headers()) {
         const bool isReplaced = isHopByHop(it.name) || isListed(connection, it.name)
-            || equalsIgnoreCase(it.name, "Content-Length") || equalsIgnoreCase(it.name, "Expect")
+            || equalsIgnoreCase(it.name, "Content-Length") || equalsIgnoreCase(it.name, "Expect") || isInternal(it.name)
             || m_shared.dialect()->isOverwrittenHeader(it.name);
         if (isReplaced) {
             continue;
@@ -170,7 +176,9 @@
     const auto &service = request->traffic->route->document().service;
     request->fingerprint = requestFingerprint(service, request->method, request->path,
                                               std::string_view(request->body).substr(0, fingerprintBodyBytes), {});
-    request->traffic->budget.countFresh();
+    if (!request->viaPeer) {
+        request->traffic->budget.countFresh();
+    }
     dispatchRouted(request);
 }
 
@@ -186,6 +194,9 @@
         refuse(request, routed);
         return;
     }
+    if (dispatchWithoutServers(request)) {
+        return;
+    }
     traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
     const auto owner = traffic.choose(m_now, *request, &m_shared.serverLimits());
     const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
@@ -294,6 +305,7 @@
     for (auto &[name, value] : dialectHeaders) {
         headers.push_back({std::move(name), std::move(value)});
     }
+    addRelayOutcome(request, refusal, headers);
     if (m_shared.isDraining()) {
         headers.push_back({"Connection", "close"});
     }
@@ -305,6 +317,9 @@
     auto lines = request.forwardedHeaders;
     AttemptInfo info{request.serverIdentity, remainingForHop(m_now, request.deadline)};
     m_shared.dialect()->writeAttempt(info, lines);
+    if (!request.relay.vm.empty()) {
+        addRelayHeaders(request, lines);
+    }
     lines.emplace_back("Expect:"); // otherwise libcurl waits for "100 Continue" before it sends a large body
     for (const auto *name : {"Content-Type", "Accept", "User-Agent"}) {
         const bool isForwarded = std::any_of(lines.begin(), lines.end(), [&](const std::string &it) {
@@ -321,9 +336,13 @@
 {
     const auto info =
         m_shared.dialect()->readResponse(status, [&](const char *name) { return fieldOf(headers, name); });
-    request->load = info.load;
-    observeRate(*request, status, info);
-    if (info.isNotRun) {
+    if (request->relay.vm.empty()) {
+        request->load = info.load;
+        observeRate(*request, status, info);
+    } else if (readRelayRefusal(*request, headers)) {
+        return true;
+    }
+    if (info.isNotRun && request->relay.vm.empty()) {
         request->serverRefusal = info.reason;
         return true;
     }
@@ -339,7 +358,7 @@
     }
     for (auto &it : headers) {
         if (isHopByHop(it.name) || equalsIgnoreCase(it.name, "Content-Length")
-            || m_shared.dialect()->isStrippedHeader(it.name)) {
+            || m_shared.dialect()->isStrippedHeader(it.name) || isInternal(it.name)) {
             continue;
         }
         request->responseHeaders.push_back(std::move(it));
@@ -361,7 +380,12 @@
 
 void RequestHandler::handleRoutedDone(const Pending &request, const AttemptResult &result)
 {
+    if (!request->relay.vm.empty()) {
+        handleRelayDone(request, result);
+        return;
+    }
     auto &traffic = *request->traffic;
+    request->sentAttempts += result.sent ? 1 : 0;
     const bool isComplete =
         result.complete && request->serverRefusal == Reason::None && request->defect == Reason::None;
     const auto reason = isComplete ? Reason::None : failureOf(*request, result);
@@ -374,6 +398,10 @@
         }
         return;
     }
+    const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
+    if (reason == Reason::ConnectFailed && isKeyed && relayAfterFailedConnection(request)) {
+        return;
+    }
     const bool isRetryableError = isComplete && request->responseStatus >= 500 && request->idempotent;
     if (isComplete && !isRetryableError) {
         answer(request);
@@ -388,7 +416,6 @@
     const auto decision = request->plan->failed(
         m_now, report, traffic.budget, fromSeconds(traffic.observations.view(m_now, request->server).serviceSeconds),
         m_random());
-    const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
     const bool isOwnerOverloaded = isKeyed && reason == Reason::ServerShed;
     if (decision.shouldRetry && !isOwnerOverloaded && !request->exchange->hasEnded()) {
         traffic.retries(report.reason).add();
@@ -403,6 +430,9 @@
         answer(request);
         return;
     }
+    if (reason == Reason::ConnectFailed && relayAfterFailedConnection(request)) {
+        return;
+    }
     refuse(request,
            routedRefusal(*request, isOwnerOverloaded ? Refusal{reason, Outcome::NotRun, {}, 0} : decision.refusal));
 }
--- /dev/null
+++ b/src/proxy/tests/relayingtest.cpp
@@ -0,0 +1,174 @@
+#include "proxy/tests/workerfixture.h"
+
+using namespace Galenarock;
+
+namespace
+{
+/// The worker of a VM without servers, beside that of another VM.
+class RelayingTest : public WorkerTest
+{
+protected:
+    RelayingTest()
+    {
+        otherShared.setDialect(workerTestDialect());
+    }
+
+    /// Makes the worker's VM lose all servers, as its own failed attempts would.
+    static void loseServers(ProxyShared &vm)
+    {
+        for (const auto *it : {"shop-1", "shop-2", "shop-3"}) {
+            vm.serverReach().failed(MonotonicClock::now(), {it, 1});
+        }
+        ASSERT_TRUE(vm.serverReach().isCutOff());
+    }
+
+    void setRelay(const std::string &address)
+    {
+        Member member;
+        member.identity = {"vm-2", 12};
+        member.address = address;
+        shared.relays().setMembers({"vm-1", 11}, "rioja", {member});
+    }
+
+    /// Starts the other VM's worker, which sends requests to `server`.
+    void startOther(const std::string &server, Distribution distribution = Distribution::Balanced)
+    {
+        otherShared.setSnapshot(makeSnapshot({server}, distribution));
+        otherWorker = std::make_unique<Worker>(otherShared);
+        ASSERT_TRUE(otherWorker->listen({"127.0.0.1:0"}));
+        otherWorker->runOnce();
+        setRelay(otherWorker->address());
+    }
+
+    /// Address at which nobody listens.
+    static std::string deadAddress()
+    {
+        RawServer server([](int, const std::string &) { return ""; });
+        return server.address();
+    }
+
+    std::uint64_t relayed(Metrics &of, const std::string &direction)
+    {
+        return of.counter("galenarock_relayed_requests_total", fmt::format("direction=\"{}\"", direction)).value();
+    }
+
+    Metrics otherMetrics;
+    ProxyShared otherShared{otherMetrics, {"vm-2", 12}, PeerKey{}};
+};
+}
+
+// Guards against callers that fail because their VM is partitioned from all servers while others are not (RECOVER).
+TEST_F(RelayingTest, RequestOfAVmWithoutServersGoesThroughAnother)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    startOther(server.address());
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("Galenarock-"), std::string::npos) << answer;
+    EXPECT_EQ(server.requests(), 1);
+    EXPECT_EQ(relayed(metrics, "sent"), 1U);
+    EXPECT_EQ(relayed(otherMetrics, "received"), 1U);
+}
+
+// The VM reaches other servers, but not the owner of the key. Guards against a refusal although another VM reaches it.
+TEST_F(RelayingTest, RequestGoesThroughAnotherVmWhenItsOwnerCannotBeReached)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({deadAddress()}, Distribution::Keyed);
+    listen();
+    startOther(server.address(), Distribution::Keyed);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+    EXPECT_EQ(server.requests(), 1);
+}
+
+// Guards against a request that goes round among VMs without servers instead of being refused at once.
+TEST_F(RelayingTest, RelayedRequestIsNotRelayedAgain)
+{
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    startOther(deadAddress());
+    loseServers(shared);
+    loseServers(otherShared);
+    Member entry;
+    entry.identity = {"vm-1", 11};
+    entry.address = worker.address();
+    otherShared.relays().setMembers({"vm-2", 12}, "rioja", {entry});
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("servers-unreachable"), std::string::npos) << answer;
+    EXPECT_EQ(relayed(metrics, "sent"), 1U);
+    EXPECT_EQ(relayed(otherMetrics, "sent"), 0U);
+}
+
+// As before with VMs that have different keys for peer requests, which happens while the key is replaced.
+TEST_F(RelayingTest, RequestOfAnUnknownVmIsNotRelayedEither)
+{
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    startOther(deadAddress());
+    otherShared.setPeerKey({1, 2, 3});
+    loseServers(shared);
+    loseServers(otherShared);
+    Member entry;
+    entry.identity = {"vm-1", 11};
+    entry.address = worker.address();
+    otherShared.relays().setMembers({"vm-2", 12}, "rioja", {entry});
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_EQ(relayed(otherMetrics, "sent"), 0U);
+}
+
+// Guards against a request that runs twice because the VM through which it went was lost.
+TEST_F(RelayingTest, RequestThatMayRunOnlyOnceIsNotSentAgainAfterItsRelayWasLost)
+{
+    repeatability = Repeatability::AtMostOnce;
+    RawServer lost([](int, const std::string &) { return ""; });
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    setRelay(lost.address());
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 502"), std::string::npos) << answer;
+    EXPECT_EQ(lost.requests(), 1);
+}
+
+// Guards against a relay that uses more servers than the route allows: the first attempt here counts.
+TEST_F(RelayingTest, RelayIsToldTheAttemptsThatAreLeft)
+{
+    std::string seen;
+    RawServer relay([&](int, const std::string &request) {
+        seen = request;
+        return SmallAnswer;
+    });
+    RawServer broken([&](int, const std::string &) {
+        loseServers(shared); // while the first attempt is in flight
+        return "";
+    });
+    shared.setRetryLimits({20, 50});
+    setRoutes({broken.address()}, Distribution::Balanced);
+    listen();
+    setRelay(relay.address());
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+    EXPECT_EQ(broken.requests(), 1);
+    EXPECT_NE(seen.find("Galenarock-Relay: 2 "), std::string::npos) << seen;
+    EXPECT_NE(seen.find("Galenarock-Peer-Auth: "), std::string::npos) << seen;
+}
+
+// Guards against a relay's answer that breaks off and looks complete to the caller.
+TEST_F(RelayingTest, AnswerThatBreaksOffAtTheRelayIsNotPassedOnAsComplete)
+{
+    RawServer relay(
+        [](int, const std::string &) { return "HTTP/1.1 200 OK\r\nRequest: r-1\r\nContent-Length: 9\r\n\r\nok"; },
+        RawServer::AfterAnswer::Close);
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    setRelay(relay.address());
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+}
