--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -145,6 +145,9 @@
     if (!record) {
         return;
     }
+    if (std::tie(m_recordEra, m_recordVersion) < std::tie(object.era, object.version)) {
+        m_unresolvedWrites.clear(); // their condition no longer holds
+    }
     m_recordVersion = object.version;
     m_recordEra = object.era;
     m_isRecordMissing = false;
@@ -260,12 +263,12 @@
         }
         m_nextRecordAt = m_now + ReadInterval;
         if (event.status == WriteStatus::Unknown) {
-            m_isHandOverUnresolved = m_isHandOverUnresolved || m_writing.leader.name.empty();
+            m_unresolvedWrites.push_back(m_writing);
             readRecord();
         }
         return;
     }
-    m_isHandOverUnresolved = false;
+    m_unresolvedWrites.clear();
     m_record = m_writing;
     m_recordVersion = event.current.version;
     m_recordEra = event.current.era;
@@ -289,7 +292,9 @@
 
 bool LeaseController::Private::mayBeHandedOver() const
 {
-    return m_isHandOverUnresolved || (m_openWrite != 0 && m_writing.leader.name.empty());
+    const bool isUnresolved = std::any_of(m_unresolvedWrites.begin(), m_unresolvedWrites.end(),
+                                          [](const LeaseRecord &it) { return it.leader.name.empty(); });
+    return isUnresolved || (m_openWrite != 0 && m_writing.leader.name.empty());
 }
 
 void LeaseController::Private::runAsLeader()
@@ -383,14 +388,15 @@
     writeRecord(wanted);
 }
 
+/// Whether a successor would find the server, whichever of the writes without an answer takes effect.
 bool LeaseController::Private::isRecorded(const SliceRange &range, const Identity &server) const
 {
-    if (!m_record) {
-        return false;
-    }
-    return std::all_of(m_record->ranges.begin(), m_record->ranges.end(), [&](const RecordedRange &it) {
-        return !it.range.overlaps(range) || it.holder == server || it.next == server;
-    });
+    const auto names = [&](const LeaseRecord &record) {
+        return std::all_of(record.ranges.begin(), record.ranges.end(), [&](const RecordedRange &it) {
+            return !it.range.overlaps(range) || it.holder == server || it.next == server;
+        });
+    };
+    return m_record && names(*m_record) && std::all_of(m_unresolvedWrites.begin(), m_unresolvedWrites.end(), names);
 }
 
 void LeaseController::Private::onMembers(const MembersEvent &event)
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -185,8 +185,8 @@
     std::uint64_t m_restoredEra = 0;
     /// The write in flight restores a record that the store has lost.
     bool m_isRestoringRecord = false;
-    /// A write that hands the lead over got no answer, and no later write has replaced it.
-    bool m_isHandOverUnresolved = false;
+    /// Writes that got no answer and may still take effect, since the record has not been seen to change.
+    std::vector<LeaseRecord> m_unresolvedWrites;
     /// Earlier leaders that may still send lease calls, and the latest end of their grants.
     std::vector<Identity> m_former;
     Instant m_formerGrantsEndAt{};
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -189,7 +189,7 @@
     m_leaderName = m_settings.self.name;
     m_leadingSince = m_now;
     m_nextSequence = 1;
-    m_isHandOverUnresolved = false;
+    m_unresolvedWrites.clear();
     m_former = m_record->former;
     m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout);
     std::vector<LeaseSlice> slices;
