--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -166,6 +166,8 @@
     /// Longest time from the sending of a lease call to its arrival: the socket discards what is not acknowledged 250
     /// ms after it was sent (discardUnsent), and the rest is for bytes on their way.
     Duration deliveryAllowance = milliseconds(300);
+    /// A call that waited longer in this process is dropped, since the state behind it is outdated.
+    Duration sendWithin = milliseconds(250);
     /// A leader that could not write its record for this long stops sending lease calls. Long enough for an outage
     /// of the store, since no other daemon can take over during one.
     Duration leadershipTimeout = seconds(15);
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -17,8 +17,6 @@
 constexpr Duration RetryInterval = milliseconds(50);
 /// Longer, since this process has too many calls already.
 constexpr Duration LateRetryInterval = milliseconds(150);
-/// A call that is queued in this process for longer is dropped, since the state behind it is outdated.
-constexpr Duration SendWithin = milliseconds(250);
 /// Failed calls in a row after which a server's keys are moved. A single failure may be one broken connection.
 constexpr std::uint32_t FailuresToMove = 2;
 /// Time for which an unresponsive server gets no keys.
@@ -79,7 +77,7 @@
 {
     decide(LeaseEvents::HolderUnresponsive, slice.range, fmt::format("{} has restarted", toString(slice.holder)));
     if (slice.openCall != 0) {
-        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(m_now + SendWithin));
+        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(m_now + m_settings.sendWithin));
     }
     dropToken(slice);
     slice.holder = restarted;
@@ -241,7 +239,7 @@
     call.range = slice.range;
     call.fencingToken = slice.fencingToken;
     call.callNumber = m_nextCallNumber++;
-    call.sendBefore = m_now + SendWithin;
+    call.sendBefore = m_now + m_settings.sendWithin;
     slice.openCall = call.callNumber;
     slice.nextCallAt = m_now + m_settings.renewEvery;
     m_actions.calls.push_back(std::move(call));
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -191,7 +191,7 @@
     m_nextSequence = 1;
     m_unresolvedWrites.clear();
     m_former = m_record->former;
-    m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout);
+    m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout + m_settings.sendWithin);
     std::vector<LeaseSlice> slices;
     for (const auto &it : m_record->ranges) {
         LeaseSlice slice;
@@ -221,10 +221,11 @@
     runAsLeader();
 }
 
-/// Called when no earlier leader sends lease calls any more: all of their grants expire within one grant duration.
+/// Called when no earlier leader makes lease calls any more: all of their grants expire within one grant duration from
+/// the time at which the last call that waits in its process can be sent.
 void LeaseController::Private::limitToOneGrant()
 {
-    m_slices.limitGrantEnds(grantEnd(m_now));
+    m_slices.limitGrantEnds(grantEnd(m_now + m_settings.sendWithin));
 }
 
 void LeaseController::Private::removeFormerLeaders(const std::function<bool(const Identity &)> &hasStopped)
@@ -254,7 +255,7 @@
 /// that servers have accepted from this daemon are renewed until that is out of the question.
 void LeaseController::Private::suspectUnknownLeader()
 {
-    m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout);
+    m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout + m_settings.sendWithin);
     m_leadingSince = m_now;
     if (std::find(m_former.begin(), m_former.end(), UnknownProcess) == m_former.end()) {
         m_former.push_back(UnknownProcess);
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -81,6 +81,28 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// Calls wait in a busy leader when it hands its lead over. Guards against a successor that counts the grants of its
+// predecessor from the hand-over although some are sent after it (OWNER).
+TEST(LeasesTest, WaitingCallsOfAStoppedLeaderHaveNoSecondHolder)
+{
+    for (int phase = 0; phase < 20; ++phase) {
+        LeaseSimulation simulation(1, 3, 5, 50);
+        simulation.run(seconds(6) + phase * milliseconds(25)); // when the renewals are due
+        const auto before = *simulation.leader();
+        for (std::size_t n = 0; n < simulation.daemons.size(); ++n) {
+            if (n != before) {
+                simulation.daemons[n].unreachedServers = {1};
+            }
+        }
+        simulation.servers[1].server.grantDelay = milliseconds(250);
+        simulation.daemons[before].callsDoneAt = simulation.now + milliseconds(245);
+        simulation.run(milliseconds(60));
+        simulation.stopDaemon(before);
+        simulation.run(seconds(5));
+        EXPECT_EQ(simulation.violation, "") << phase;
+    }
+}
+
 // The entry of a restarted server appears after a grant for the earlier process has reached the later one. Guards
 // against a leader that takes its keys for free at once, since the process that it knew has ended (OWNER).
 TEST(LeasesTest, KeysGrantedToAnUnseenProcessHaveNoSecondHolder)
