--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -203,7 +203,7 @@
     m_heardEpoch = notice.epoch;
     m_leaderHeardAt = m_now;
     m_leaderName = event.sender.name;
-    m_soleEpoch = notice.isSole ? notice.epoch : m_soleEpoch;
+    m_soleEpoch = notice.isSole ? notice.epoch : (m_soleEpoch == notice.epoch ? 0 : m_soleEpoch);
     if (m_epoch > 0 && m_stoppedSentEpoch < notice.epoch) {
         // This daemon was a leader earlier; the new leader must learn that it no longer sends lease calls.
         m_stoppedSentEpoch = notice.epoch;
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -119,8 +119,11 @@
     }
     ++record.epoch;
     record.era = m_storeEra;
-    if (m_soleEpoch + 1 == record.epoch) {
-        record.former.clear(); // the last leader announced that they have stopped
+    // The last leader announced that they have stopped. An unknown one may have come up since, after a restore.
+    const bool hasUnknown =
+        std::find(record.former.begin(), record.former.end(), UnknownProcess) != record.former.end();
+    if (m_soleEpoch + 1 == record.epoch && !hasUnknown) {
+        record.former.clear();
     }
     if (!record.leader.name.empty()) {
         record.former.push_back(record.leader);
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -493,6 +493,43 @@
     EXPECT_GE(writes, 2);
 }
 
+// The leader said that no earlier leader sends lease calls, and suspects an unknown one later, after the store came
+// back from an older copy. Guards against a successor that goes by the earlier statement (OWNER).
+TEST(LeasesTest, UnknownLeaderStaysRecordedAfterAnEarlierStatement)
+{
+    LeaseSettings settings;
+    settings.self = {"vm-b", 20};
+    settings.service = "shop";
+    LeaseController controller(settings);
+    Instant now(seconds(1'000));
+    const Identity former{"vm-a", 2};
+    controller.step(now,
+                    MembersEvent{{Member{former, "a", "", "", MemberStatus::Alive, true},
+                                  Member{settings.self, "a", "", "", MemberStatus::Alive, true}}});
+    controller.setServers(now, {{{"s-0", 1}, "10.0.0.1:80", "a", 4, false}});
+    controller.step(now, PeerEvent{former, LeaseMessage::Announce, encode(LeaseNotice{"shop", 3, 1, true})});
+    const LeaseRecord record{"shop", 3, former, {{"*", 0}}, {{{}, {"s-0", 1}, {}}}};
+    const StoredObject stored{{ObjectKind::Lease, "shop"}, 7, 99, toJson(record)};
+    std::optional<nlohmann::json> written;
+    for (int n = 0; n < 100 && !written; ++n) {
+        now += milliseconds(50);
+        std::vector<ControlEvent> events{TickEvent()};
+        while (!events.empty()) {
+            const auto actions = controller.step(now, events.back());
+            events.pop_back();
+            for (const auto &it : actions.control) {
+                if (std::holds_alternative<ReadObjectAction>(it)) {
+                    events.emplace_back(ObjectEvent{stored, true});
+                } else if (const auto *write = std::get_if<WriteObjectAction>(&it)) {
+                    written = write->value;
+                }
+            }
+        }
+    }
+    ASSERT_TRUE(written);
+    EXPECT_EQ((*written)["former"].size(), 2U) << written->dump();
+}
+
 // Half of the fleet stops at once and still counts as alive. Guards against a takeover that waits for the turn of each
 // lost daemon.
 TEST(LeasesTest, LossOfHalfTheFleetDoesNotDelayTheTakeover)
