--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -100,6 +100,8 @@
     void sendGrant(LeaseSlice &slice);
     void sendRelease(LeaseSlice &slice);
     void send(LeaseSlice &slice, LeaseCall call);
+    /// Makes the later process the holder where the list of servers shows that the holder has restarted.
+    void adoptRestarts();
     void restartHolder(LeaseSlice &slice, const Identity &restarted);
     /// Lets the next grant have a new fencing token, which no server has accepted yet.
     static void dropToken(LeaseSlice &slice);
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -58,6 +58,13 @@
     if (m_role != LeaseRole::Leader) {
         return;
     }
+    adoptRestarts();
+    m_nextPlanAt = m_now;
+    runAsLeader();
+}
+
+void LeaseController::Private::adoptRestarts()
+{
     for (auto &slice : m_slices.all()) {
         const auto restarted = std::find_if(m_servers.begin(), m_servers.end(), [&](const LeaseServer &it) {
             return it.identity.name == slice.holder.name && it.identity.boot > slice.holder.boot;
@@ -67,8 +74,6 @@
         }
         restartHolder(slice, restarted->identity);
     }
-    m_nextPlanAt = m_now;
-    runAsLeader();
 }
 
 /// The grants of the earlier process are void, but the latest ones may have reached the new process, which then holds
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -211,6 +211,7 @@
     }
     m_slices.clear();
     m_slices.assign(std::move(slices));
+    adoptRestarts();
     if (m_former.empty()) {
         limitToOneGrant();
     }
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -103,6 +103,20 @@
     }
 }
 
+// The leader is lost before it has recorded that a server restarted. Guards against a successor that waits for the
+// earlier process as long as for any holder that it does not reach.
+TEST(LeasesTest, RestartThatTheLostLeaderDidNotRecordDoesNotDelayItsKeys)
+{
+    const auto simulation = stableSimulation();
+    const auto before = *simulation->leader();
+    simulation->daemons[before].isSuspended = true;
+    simulation->restartServer(1);
+    simulation->killDaemon(before);
+    simulation->run(RecoveryLimit);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 // The entry of a restarted server appears after a grant for the earlier process has reached the later one. Guards
 // against a leader that takes its keys for free at once, since the process that it knew has ended (OWNER).
 TEST(LeasesTest, KeysGrantedToAnUnseenProcessHaveNoSecondHolder)
