--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -334,6 +334,7 @@
         return;
     case LeaseCallStatus::Unknown:
         slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.sentAt));
+        dropToken(slice); // the server may have accepted it, over a connection that is not known
         break;
     case LeaseCallStatus::Refused:
     case LeaseCallStatus::NotSent:
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -117,6 +117,29 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// A grant got no answer, though the server took it, and the server restarts before the next one. Guards against sending
+// the same token again, which only an accepted one is bound to a connection against (OWNER).
+TEST(LeasesTest, UnansweredTokenIsNotSentToALaterProcess)
+{
+    const auto simulation = stableSimulation();
+    const auto leader = *simulation->leader();
+    for (std::size_t n = 0; n < simulation->daemons.size(); ++n) {
+        if (n != leader) {
+            simulation->killDaemon(n); // the lead has nowhere to go
+        }
+    }
+    for (auto &it : simulation->servers) {
+        it.server.grantDelay = milliseconds(10);
+    }
+    simulation->run(milliseconds(1'100));
+    simulation->restartServerUnseen(1);
+    for (auto &it : simulation->servers) {
+        it.server.grantDelay = Duration();
+    }
+    simulation->run(seconds(4));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 // The entry of a restarted server appears after a grant for the earlier process has reached the later one. Guards
 // against a leader that takes its keys for free at once, since the process that it knew has ended (OWNER).
 TEST(LeasesTest, KeysGrantedToAnUnseenProcessHaveNoSecondHolder)
