--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -412,6 +412,12 @@
     dropReplacedLeaders();
 }
 
+void LeaseController::Private::setReachesServers(bool reachesServers)
+{
+    m_reachesServers = reachesServers;
+    m_mayHandOver = m_mayHandOver || reachesServers;
+}
+
 void LeaseController::Private::onStop()
 {
     m_isStopping = true;
@@ -459,7 +465,7 @@
 
 void LeaseController::setReachesServers(bool reachesServers)
 {
-    m_data->m_reachesServers = reachesServers;
+    m_data->setReachesServers(reachesServers);
 }
 
 bool LeaseController::isLeader() const
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -32,6 +32,7 @@
     void handle(const ControlEvent &event);
     void setServers(std::vector<LeaseServer> servers);
     void addLoad(const KeyLoad &load);
+    void setReachesServers(bool reachesServers);
 
     const LeaseSettings m_settings;
     LeaseRole m_role = LeaseRole::Follower;
@@ -181,6 +182,8 @@
     Instant m_leadingSince{};
     /// Last report of another daemon that a server has answered it.
     Instant m_otherContactAt{};
+    /// This VM has reached servers since it took the lead.
+    bool m_mayHandOver = true;
     /// Since when all members are alive and there is another one than this daemon; zero while that is not so.
     Instant m_allAliveSince{};
     /// Latest era in which this leader wrote its record again.
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -193,6 +193,7 @@
     m_leadingSince = m_now;
     m_nextSequence = 1;
     m_unresolvedWrites.clear();
+    m_mayHandOver = m_reachesServers; // otherwise no other daemon took the lead
     m_former = m_record->former;
     m_formerGrantsEndAt = grantEnd(m_now + m_settings.leadershipTimeout + m_settings.sendWithin);
     std::vector<LeaseSlice> slices;
@@ -281,7 +282,8 @@
 
 bool LeaseController::Private::isHandingOver() const
 {
-    const bool hasSuccessor = m_otherContactAt != Instant() && m_now - m_otherContactAt < ContactReportLifetime;
+    const bool hasSuccessor =
+        m_mayHandOver && m_otherContactAt != Instant() && m_now - m_otherContactAt < ContactReportLifetime;
     return m_isStopping || (!m_reachesServers && hasSuccessor);
 }
 
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -597,11 +597,24 @@
     return n;
 }
 
+/// Whether the requests of the daemon's callers reach any server.
+bool LeaseSimulation::hasServerContact(const Daemon &daemon) const
+{
+    return daemon.reachesServers && std::any_of(servers.begin(), servers.end(), [&](const ServerState &it) {
+               return it.server.isUp && it.server.isReachable && reachesServerAt(daemon, it.entry.address);
+           });
+}
+
 void LeaseSimulation::addLoad(const std::vector<std::pair<KeyHash, std::uint32_t>> &positions)
 {
     for (std::size_t n = 0; n < daemons.size(); ++n) {
         if (daemons[n].controller && !daemons[n].isSuspended) {
-            execute(n, daemons[n].controller->addLoad(now, {"shop", 0.25, positions, {}, daemons[n].reachesServers}));
+            const bool hasContact = hasServerContact(daemons[n]);
+            if (hasContact) {
+                daemons[n].reach.answered(now);
+                daemons[n].controller->setReachesServers(true);
+            }
+            execute(n, daemons[n].controller->addLoad(now, {"shop", 0.25, positions, {}, hasContact}));
         }
     }
 }
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -142,6 +142,7 @@
     void write(std::size_t daemon, const WriteObjectAction &action);
     void read(std::size_t daemon, const ReadObjectAction &action);
     void sendCall(std::size_t daemon, const LeaseCall &call);
+    bool hasServerContact(const Daemon &daemon) const;
     void noteReach(std::size_t daemon, const LeaseReplyEvent &reply);
     bool reachesServerAt(const Daemon &daemon, const std::string &address) const;
     void sendCallNow(std::uint64_t daemonBoot, const std::shared_ptr<LeaseReplyEvent> &reply,
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -81,6 +81,29 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// A grant got no answer, though the server took it, and the server restarts before the next one. Guards against sending
+// the same token again, which only an accepted one is bound to a connection against (OWNER).
+TEST(LeasesTest, UnansweredTokenIsNotSentToALaterProcess)
+{
+    const auto simulation = stableSimulation();
+    const auto leader = *simulation->leader();
+    for (std::size_t n = 0; n < simulation->daemons.size(); ++n) {
+        if (n != leader) {
+            simulation->killDaemon(n); // the lead has nowhere to go
+        }
+    }
+    for (auto &it : simulation->servers) {
+        it.server.grantDelay = milliseconds(10);
+    }
+    simulation->run(milliseconds(1'100));
+    simulation->restartServerUnseen(1);
+    for (auto &it : simulation->servers) {
+        it.server.grantDelay = Duration();
+    }
+    simulation->run(seconds(4));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 // Calls wait in a busy leader when it hands its lead over. Guards against a successor that counts the grants of its
 // predecessor from the hand-over although some are sent after it (OWNER).
 TEST(LeasesTest, WaitingCallsOfAStoppedLeaderHaveNoSecondHolder)
@@ -117,29 +140,6 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
-// A grant got no answer, though the server took it, and the server restarts before the next one. Guards against sending
-// the same token again, which only an accepted one is bound to a connection against (OWNER).
-TEST(LeasesTest, UnansweredTokenIsNotSentToALaterProcess)
-{
-    const auto simulation = stableSimulation();
-    const auto leader = *simulation->leader();
-    for (std::size_t n = 0; n < simulation->daemons.size(); ++n) {
-        if (n != leader) {
-            simulation->killDaemon(n); // the lead has nowhere to go
-        }
-    }
-    for (auto &it : simulation->servers) {
-        it.server.grantDelay = milliseconds(10);
-    }
-    simulation->run(milliseconds(1'100));
-    simulation->restartServerUnseen(1);
-    for (auto &it : simulation->servers) {
-        it.server.grantDelay = Duration();
-    }
-    simulation->run(seconds(4));
-    EXPECT_EQ(simulation->violation, "");
-}
-
 // The entry of a restarted server appears after a grant for the earlier process has reached the later one. Guards
 // against a leader that takes its keys for free at once, since the process that it knew has ended (OWNER).
 TEST(LeasesTest, KeysGrantedToAnUnseenProcessHaveNoSecondHolder)
@@ -567,6 +567,46 @@
     EXPECT_EQ((*written)["former"].size(), 2U) << written->dump();
 }
 
+// A daemon without servers takes the lead because no other one did. Guards against handing it over at once, again and
+// again, to daemons that say they reach servers but do not take it (RECOVER).
+TEST(LeasesTest, DaemonThatTookTheLeadAsTheLastOneKeepsIt)
+{
+    LeaseSettings settings;
+    settings.self = {"vm-b", 20};
+    settings.service = "shop";
+    LeaseController controller(settings);
+    Instant now(seconds(1'000));
+    const Identity other{"vm-a", 2};
+    controller.step(now,
+                    MembersEvent{{Member{other, "a", "", "", MemberStatus::Alive, true},
+                                  Member{settings.self, "a", "", "", MemberStatus::Alive, true}}});
+    controller.setServers(now, {{{"s-0", 1}, "10.0.0.1:80", "a", 4, false}});
+    controller.setReachesServers(false);
+    StoredObject stored{
+        {ObjectKind::Lease, "shop"}, 7, 99, toJson(LeaseRecord{"shop", 3, other, {}, {{{}, {"s-0", 1}, {}}}})};
+    const PeerEvent contact{other, LeaseMessage::Load, encode(KeyLoad{"shop", 0.25, {}, {}, true})};
+    int handOvers = 0;
+    for (int n = 0; n < 200; ++n) {
+        now += milliseconds(50);
+        std::vector<ControlEvent> events{TickEvent(), contact};
+        while (!events.empty()) {
+            const auto actions = controller.step(now, events.back());
+            events.pop_back();
+            for (const auto &it : actions.control) {
+                if (std::holds_alternative<ReadObjectAction>(it)) {
+                    events.emplace_back(ObjectEvent{stored, true});
+                } else if (const auto *write = std::get_if<WriteObjectAction>(&it)) {
+                    handOvers += write->value["leader"] == toString(Identity()) || write->value["leader"] == "" ? 1 : 0;
+                    stored = {write->key, stored.version + 1, write->writer, write->value};
+                    events.emplace_back(WriteResultEvent{write->key, write->writer, now, WriteStatus::Applied, stored});
+                }
+            }
+        }
+    }
+    EXPECT_TRUE(controller.isLeader());
+    EXPECT_EQ(handOvers, 0);
+}
+
 // Half of the fleet stops at once and still counts as alive. Guards against a takeover that waits for the turn of each
 // lost daemon.
 TEST(LeasesTest, LossOfHalfTheFleetDoesNotDelayTheTakeover)
