--- a/include/galenarock/readablejson.h
+++ b/include/galenarock/readablejson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include <nlohmann/json.hpp>
 
@@ -10,6 +11,13 @@
 namespace Galenarock
 {
 
+/// Maximum nesting depth of values that are read. Copies, comparisons and the destructor of a value take stack for each
+/// level.
+constexpr std::size_t maxJsonDepth = 64;
+
+/// Parses a JSON text that must be readable as a whole and is nested at most maxJsonDepth levels deep.
+Result<nlohmann::json> parseJson(std::string_view text);
+
 /// The readable part of a JSON text.
 struct ReadableJson
 {
@@ -19,8 +27,9 @@
     Findings unreadable;
 };
 
-/// Parses a JSON object. Numbers that are out of range, bytes that are not UTF-8 and text that is not JSON make only
-/// the innermost value unreadable that contains them. Fails if the text is not enclosed in braces.
+/// Parses a JSON object. Numbers that are out of range, bytes that are not UTF-8, text that is not JSON and values
+/// that are nested too deeply make only the innermost value unreadable that contains them. Fails if the text is not
+/// enclosed in braces.
 Result<ReadableJson> parseReadableJson(const std::string &text);
 
 }
--- a/src/objectstore/answers.cpp
+++ b/src/objectstore/answers.cpp
@@ -1,19 +1,12 @@
 #include "objectstore/answers_p.h"
 
+#include <galenarock/readablejson.h>
+
 namespace Galenarock
 {
 
 using nlohmann::json;
 
-Result<json> parseStoreJson(const std::string &text)
-{
-    auto value = json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        return fail(ErrorCode::MalformedJson, text.substr(0, 120));
-    }
-    return value;
-}
-
 Result<std::uint64_t> unsignedField(const json &object, const char *name)
 {
     const auto it = object.is_object() ? object.find(name) : object.end();
@@ -70,7 +63,7 @@
 
 Result<VmList> parseVmList(const std::string &response)
 {
-    BOOST_LEAF_AUTO(value, parseStoreJson(response));
+    BOOST_LEAF_AUTO(value, parseJson(response));
     return vmListFromJson(value);
 }
 
--- a/src/objectstore/answers_p.h
+++ b/src/objectstore/answers_p.h
@@ -9,7 +9,6 @@
 /// NotSent: the platform refused the write without effect.
 WriteResultEvent decodeWriteResult(const StoreDialect &dialect, const HttpCall &call);
 
-Result<nlohmann::json> parseStoreJson(const std::string &text);
 /// A required field that holds an unsigned integer.
 Result<std::uint64_t> unsignedField(const nlohmann::json &object, const char *name);
 Result<VmList> parseVmList(const std::string &response);
--- a/src/objectstore/nativedialect.cpp
+++ b/src/objectstore/nativedialect.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <galenarock/readablejson.h>
 #include <galenarock/storeclient.h>
 
 #include "objectstore/answers_p.h"
@@ -42,7 +43,7 @@
 
 Result<ObjectPage> decodePage(const std::string &body)
 {
-    BOOST_LEAF_AUTO(value, parseStoreJson(body));
+    BOOST_LEAF_AUTO(value, parseJson(body));
     ObjectPage page;
     BOOST_LEAF_ASSIGN(page.revision, unsignedField(value, "revision"));
     const auto items = value.find("items");
@@ -58,7 +59,7 @@
 
 Result<StoredObject> decodeConflict(const std::string &body)
 {
-    BOOST_LEAF_AUTO(value, parseStoreJson(body));
+    BOOST_LEAF_AUTO(value, parseJson(body));
     const auto it = value.is_object() ? value.find("current") : value.end();
     if (it == value.end()) {
         return fail(ErrorCode::MissingField, "current");
@@ -89,11 +90,11 @@
     };
     dialect.decodeWatch = dialect.decodeList;
     dialect.decodeObject = [](const ObjectKey &, const std::string &body) -> Result<StoredObject> {
-        BOOST_LEAF_AUTO(value, parseStoreJson(body));
+        BOOST_LEAF_AUTO(value, parseJson(body));
         return storedObjectFromJson(value);
     };
     dialect.decodeWritten = [](const std::string &body) -> Result<std::uint64_t> {
-        BOOST_LEAF_AUTO(value, parseStoreJson(body));
+        BOOST_LEAF_AUTO(value, parseJson(body));
         return unsignedField(value, "version");
     };
     dialect.decodeConflict = [](const ObjectKey &, const std::string &body) {
--- a/src/objectstore/readablejson.cpp
+++ b/src/objectstore/readablejson.cpp
@@ -45,6 +45,32 @@
     return text.size();
 }
 
+/// Whether the brackets of the text are nested at most maxJsonDepth levels deep.
+bool isShallow(std::string_view text)
+{
+    std::size_t depth = 0;
+    for (std::size_t at = 0; at < text.size() && depth <= maxJsonDepth;) {
+        const char c = text[at];
+        if (c == '"') {
+            at = endOfString(text, at);
+            continue;
+        }
+        if (c == '{' || c == '[') {
+            ++depth;
+        } else if ((c == '}' || c == ']') && depth > 0) {
+            --depth;
+        }
+        ++at;
+    }
+    return depth <= maxJsonDepth;
+}
+
+/// The value of the text; discarded if it cannot be read.
+json parseShallow(std::string_view text)
+{
+    return isShallow(text) ? json::parse(text, nullptr, false) : json(json::value_t::discarded);
+}
+
 /// Splits the text between the brackets of an array or an object at the commas that are not nested.
 std::vector<std::string_view> splitParts(std::string_view text)
 {
@@ -85,7 +111,7 @@
 
     json read(std::string_view text, const std::string &place, std::size_t depth)
     {
-        auto value = json::parse(text, nullptr, false);
+        auto value = parseShallow(text);
         if (!value.is_discarded()) {
             return value;
         }
@@ -130,13 +156,27 @@
     }
     void report(const std::string &place, std::string_view text)
     {
-        m_unreadable.push_back({ErrorCode::MalformedJson, place, std::string(text.substr(0, ExcerptBytes))});
+        const auto code = isShallow(text) ? ErrorCode::MalformedJson : ErrorCode::TooLarge;
+        m_unreadable.push_back({code, place, std::string(text.substr(0, ExcerptBytes))});
     }
 
     Findings &m_unreadable;
 };
 }
 
+Result<json> parseJson(std::string_view text)
+{
+    if (!isShallow(text)) {
+        return fail(ErrorCode::TooLarge,
+                    fmt::format("nested deeper than {} levels: {}", maxJsonDepth, text.substr(0, ExcerptBytes)));
+    }
+    auto value = json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        return fail(ErrorCode::MalformedJson, std::string(text.substr(0, ExcerptBytes)));
+    }
+    return value;
+}
+
 Result<ReadableJson> parseReadableJson(const std::string &text)
 {
     const auto body = trimmed(text);
