--- a/include/galenarock/readablejson.h
+++ b/include/galenarock/readablejson.h
@@ -25,6 +25,9 @@
     /// JSON pointers of the values that could not be read. `value` has null in their place; it lacks members whose
     /// name cannot be read.
     Findings unreadable;
+
+    /// Whether the value at the JSON pointer `place` could be read with all that it contains.
+    bool isReadable(const std::string &place) const;
 };
 
 /// Parses a JSON object. Numbers that are out of range, bytes that are not UTF-8, text that is not JSON and values
--- a/src/objectstore/nativedialect.cpp
+++ b/src/objectstore/nativedialect.cpp
@@ -41,18 +41,36 @@
             body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
+/// Adds the item to the page, or a finding if it cannot be decoded.
+void addItem(const json &item, const std::string &place, ObjectPage &page)
+{
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(object, storedObjectFromJson(item));
+            page.items.push_back(std::move(object));
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) {
+            page.skipped.push_back({code, place, detail});
+        });
+}
+
 Result<ObjectPage> decodePage(const std::string &body)
 {
-    BOOST_LEAF_AUTO(value, parseJson(body));
+    BOOST_LEAF_AUTO(readable, parseReadableJson(body));
+    const auto &value = readable.value;
     ObjectPage page;
+    page.skipped = readable.unreadable;
     BOOST_LEAF_ASSIGN(page.revision, unsignedField(value, "revision"));
     const auto items = value.find("items");
     if (items == value.end() || !items->is_array()) {
         return fail(ErrorCode::MissingField, "items");
     }
-    for (const auto &it : *items) {
-        BOOST_LEAF_AUTO(object, storedObjectFromJson(it));
-        page.items.push_back(std::move(object));
+    for (std::size_t n = 0; n < items->size(); ++n) {
+        const auto place = fmt::format("/items/{}", n);
+        if (readable.isReadable(place)) {
+            addItem((*items)[n], place, page);
+        }
     }
     return page;
 }
--- a/src/objectstore/readablejson.cpp
+++ b/src/objectstore/readablejson.cpp
@@ -1,5 +1,6 @@
 #include <galenarock/readablejson.h>
 
+#include <algorithm>
 #include <string_view>
 #include <vector>
 
@@ -164,6 +165,13 @@
 };
 }
 
+bool ReadableJson::isReadable(const std::string &place) const
+{
+    return std::none_of(unreadable.begin(), unreadable.end(), [&](const Finding &it) {
+        return it.place == place || it.place.compare(0, place.size() + 1, place + "/") == 0;
+    });
+}
+
 Result<json> parseJson(std::string_view text)
 {
     if (!isShallow(text)) {
