--- a/src/objectstore/nativedialect.cpp
+++ b/src/objectstore/nativedialect.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <galenarock/readablejson.h>
 #include <galenarock/storeclient.h>
 
 #include "objectstore/answers_p.h"
@@ -40,25 +41,43 @@
             body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
+/// Adds the item to the page, or a finding if it cannot be decoded.
+void addItem(const json &item, const std::string &place, ObjectPage &page)
+{
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(object, storedObjectFromJson(item));
+            page.items.push_back(std::move(object));
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) {
+            page.skipped.push_back({code, place, detail});
+        });
+}
+
 Result<ObjectPage> decodePage(const std::string &body)
 {
-    BOOST_LEAF_AUTO(value, parseStoreJson(body));
+    BOOST_LEAF_AUTO(readable, parseReadableJson(body));
+    const auto &value = readable.value;
     ObjectPage page;
+    page.skipped = readable.unreadable;
     BOOST_LEAF_ASSIGN(page.revision, unsignedField(value, "revision"));
     const auto items = value.find("items");
     if (items == value.end() || !items->is_array()) {
         return fail(ErrorCode::MissingField, "items");
     }
-    for (const auto &it : *items) {
-        BOOST_LEAF_AUTO(object, storedObjectFromJson(it));
-        page.items.push_back(std::move(object));
+    for (std::size_t n = 0; n < items->size(); ++n) {
+        const auto place = fmt::format("/items/{}", n);
+        if (readable.isReadable(place)) {
+            addItem((*items)[n], place, page);
+        }
     }
     return page;
 }
 
 Result<StoredObject> decodeConflict(const std::string &body)
 {
-    BOOST_LEAF_AUTO(value, parseStoreJson(body));
+    BOOST_LEAF_AUTO(value, parseJson(body));
     const auto it = value.is_object() ? value.find("current") : value.end();
     if (it == value.end()) {
         return fail(ErrorCode::MissingField, "current");
@@ -89,11 +108,11 @@
     };
     dialect.decodeWatch = dialect.decodeList;
     dialect.decodeObject = [](const ObjectKey &, const std::string &body) -> Result<StoredObject> {
-        BOOST_LEAF_AUTO(value, parseStoreJson(body));
+        BOOST_LEAF_AUTO(value, parseJson(body));
         return storedObjectFromJson(value);
     };
     dialect.decodeWritten = [](const std::string &body) -> Result<std::uint64_t> {
-        BOOST_LEAF_AUTO(value, parseStoreJson(body));
+        BOOST_LEAF_AUTO(value, parseJson(body));
         return unsignedField(value, "version");
     };
     dialect.decodeConflict = [](const ObjectKey &, const std::string &body) {
