--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -321,15 +321,19 @@
 {
     const auto info =
         m_shared.dialect()->readResponse(status, [&](const char *name) { return fieldOf(headers, name); });
+    const bool needsId = status < 300 && !info.isNotRun;
+    const bool isMismatched = info.id != request->requestId && (needsId || !info.id.empty());
+    if (isMismatched) {
+        request->defect = Reason::ResponseCut;
+        return false;
+    }
     request->load = info.load;
     observeRate(*request, status, info);
     if (info.isNotRun) {
         request->serverRefusal = info.reason;
         return true;
     }
-    const bool isSuccess = status < 300;
-    const bool isMismatched = info.id != request->requestId && (isSuccess || !info.id.empty());
-    if (isMismatched || info.isEncoded) {
+    if (info.isEncoded) {
         request->defect = Reason::ResponseCut;
         return false;
     }
