--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -331,6 +331,11 @@
     observeRate(*request, status, info);
     if (info.isNotRun) {
         request->serverRefusal = info.reason;
+        if (info.id.empty()) {
+            // Without an id, a copy of it that follows on the connection could not be told from a refusal of the next
+            // request.
+            UpstreamClient::closeAfterResponse(request->attempt);
+        }
         return true;
     }
     if (info.isEncoded) {
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -192,3 +192,25 @@
     EXPECT_EQ(statusOf("r-1"), 502);
     EXPECT_EQ(first.requests() + second.requests(), before + 1);
 }
+
+// Guards against believing a refusal without an id that repeats an earlier one of the same connection (REFUSED).
+TEST_F(StaleAnswerTest, RepeatedRefusalWithoutIdIsNotBelieved)
+{
+    bool wasRefused = false;
+    int connections = 0;
+    RawServer *self = nullptr;
+    RawServer server([&](int, const std::string &request) {
+        const bool isKept = self->connections() == connections;
+        connections = self->connections();
+        if (!wasRefused) {
+            wasRefused = true;
+            return refusal(503, "");
+        }
+        return isKept ? refusal(503, "") + success(idOf(request)) : success(idOf(request));
+    });
+    self = &server;
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1"), 503);
+    EXPECT_EQ(statusOf("r-2"), 200);
+    EXPECT_EQ(server.requests(), 2);
+}
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -236,6 +236,11 @@
     release(attempt);
 }
 
+void UpstreamClient::closeAfterResponse(Attempt *attempt)
+{
+    curl_easy_setopt(attempt->handle, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void UpstreamClient::resume(Attempt *attempt)
 {
     curl_easy_pause(attempt->handle, CURLPAUSE_CONT);
