--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -347,6 +347,9 @@
         attempt.target = request->path;
         attempt.connectTimeoutMs = RoutedConnectTimeoutMs;
         attempt.keepsConnection = request->keepsConnection;
+        const auto &refusedBy = request->refusedBy;
+        attempt.needsNewConnection =
+            std::find(refusedBy.begin(), refusedBy.end(), request->serverIdentity.name) != refusedBy.end();
     } else {
         attempt.headerLines = makeHeaders(*request, m_now);
     }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -331,6 +331,7 @@
     observeRate(*request, status, info);
     if (info.isNotRun) {
         request->serverRefusal = info.reason;
+        request->refusedBy.push_back(request->serverIdentity.name);
         if (info.id.empty()) {
             // Without an id, a copy of it that follows on the connection could not be told from a refusal of the next
             // request.
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -214,3 +214,40 @@
     EXPECT_EQ(statusOf("r-2"), 200);
     EXPECT_EQ(server.requests(), 2);
 }
+
+// Guards against believing a refusal with the id of the request that repeats the one of an earlier attempt at the same
+// server (REFUSED, TWICE).
+TEST_F(StaleAnswerTest, RepeatedRefusalOfAnEarlierAttemptIsNotBelieved)
+{
+    constexpr char lastAnswer[] = "HTTP/1.1 200 OK\r\nRequest: {}\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+    constexpr int maxWaitMs = 400; // longer than the delay before a retry
+    bool wasRefused = false;
+    bool hasWaited = false;
+    std::atomic<int> runs{0};
+    RawServer server([&](int, const std::string &request) {
+        const auto id = idOf(request);
+        if (id != "first" && !wasRefused) {
+            wasRefused = true;
+            return refusal(421, id);
+        }
+        runs += id == "first" ? 0 : 1;
+        return fmt::format(lastAnswer, id);
+    });
+    server.setAfterAnswer([&](int fd) {
+        if (!wasRefused || hasWaited) {
+            return;
+        }
+        hasWaited = true;
+        pollfd entry{fd, POLLIN, 0};
+        char buf[4096];
+        if (poll(&entry, 1, maxWaitMs) > 0 && recv(fd, buf, sizeof buf, 0) > 0) {
+            ++runs;
+            const auto text = refusal(421, "r-1") + success("r-1");
+            EXPECT_EQ(write(fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+        }
+    });
+    start({server.address()}, Distribution::Keyed);
+    fillRetryBudget();
+    EXPECT_EQ(statusOf("r-1"), 200);
+    EXPECT_EQ(runs, 1);
+}
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -212,6 +212,7 @@
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, attempt->request.discardsUnsent ? discardUnsent : detectSilence);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleLimit(attempt->request.url));
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, attempt->request.keepsConnection ? 0L : 1L);
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, attempt->request.needsNewConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(attempt->request.timeoutMs));
     setBodyOptions(handle, *attempt);
     curl_multi_add_handle(m_multi, handle);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -87,6 +87,8 @@
     std::int64_t connectTimeoutMs = 1'000;
     /// False closes the connection after the response.
     bool keepsConnection = true;
+    /// True opens a connection for this attempt.
+    bool needsNewConnection = false;
     /// A late request would do harm: see discardUnsent(). Attempts to one server must agree on it.
     bool discardsUnsent = false;
 };
