--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -182,3 +182,25 @@
     EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", std::string(4'000, 'b'));
     EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Unknown);
 }
+
+// Guards against taking a response that arrived before a call was sent for the reply to that call.
+TEST_F(LeaseCallerTest, ExtraReplyThatWaitsOnTheConnectionIsNotTaken)
+{
+    constexpr char accepted[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<bool> isExtraSent{false};
+    RawServer server([&](int n, const std::string &) { return n == 1 ? accepted : ""; });
+    server.setAfterAnswer([&](int fd) {
+        usleep(20'000); // a separate packet, after the caller has read the reply
+        EXPECT_EQ(write(fd, accepted, sizeof accepted - 1), static_cast<ssize_t>(sizeof accepted - 1));
+        isExtraSent = true;
+        char buf[256];
+        EXPECT_LE(recv(fd, buf, sizeof buf, 0), 0) << "the connection was used again";
+    });
+    const auto first = call(server.address(), later());
+    ASSERT_EQ(first.status, LeaseCallStatus::Accepted);
+    while (!isExtraSent) {
+        usleep(1'000);
+    }
+    EXPECT_EQ(call(server.address(), later(), first.connection).status, LeaseCallStatus::Reconnected);
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Unknown);
+}
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -20,6 +20,7 @@
 inline constexpr EventType ServersLost{212, Severity::Warning, "servers-lost"};
 inline constexpr EventType ServersReached{213, Severity::Info, "servers-reached"};
 inline constexpr EventType RequestRelayed{214, Severity::Info, "request-relayed"};
+inline constexpr EventType ConnectionUnclean{219, Severity::Warning, "connection-unclean"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -251,3 +251,29 @@
     EXPECT_EQ(statusOf("r-1"), 200);
     EXPECT_EQ(runs, 1);
 }
+
+// Guards against using a kept connection on which a response has arrived that no request waits for.
+TEST_F(StaleAnswerTest, ConnectionWithUnreadBytesIsNotUsed)
+{
+    std::atomic<bool> isExtraSent{false};
+    RawServer server([](int, const std::string &request) { return success(idOf(request)); });
+    server.setAfterAnswer([&](int fd) {
+        if (isExtraSent) {
+            return;
+        }
+        usleep(20'000); // a separate packet, after the caller has read the response
+        const auto extra = refusal(503, "");
+        EXPECT_EQ(write(fd, extra.data(), extra.size()), static_cast<ssize_t>(extra.size()));
+        isExtraSent = true;
+        char buf[4096];
+        EXPECT_LE(recv(fd, buf, sizeof buf, 0), 0) << "the connection was used again";
+    });
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1"), 200);
+    while (!isExtraSent) {
+        usleep(1'000);
+    }
+    EXPECT_EQ(statusOf("r-2"), 200);
+    EXPECT_EQ(server.requests(), 2);
+    EXPECT_EQ(server.connections(), 2);
+}
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -5,8 +5,11 @@
 #include <cstring>
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/sockets_p.h"
+#include "events_p.h"
 
 namespace Galenarock
 {
@@ -24,7 +27,11 @@
     unsigned sends = 0;
     bool headDelivered = false;
     bool resendStopped = false;
+    /// The connection was not used because of unread bytes.
+    bool foundUnreadBytes = false;
     bool wasPaused = false;
+    /// The socket that was opened for this attempt.
+    curl_socket_t newSocket = CURL_SOCKET_BAD;
     /// `timeout` of the response's Keep-Alive header; 0 when there is none.
     long advertisedIdleSeconds = 0;
 };
@@ -109,15 +116,60 @@
     return newConnections > 0;
 }
 
+/// Both ends of a connection to a server.
+struct Endpoints
+{
+    std::string serverIp;
+    int serverPort = 0;
+    int localPort = 0;
+};
+
+/// The open connections of this thread's clients by socket: libcurl 7.88 does not tell the socket of a kept connection
+/// before a request is sent over it.
+thread_local std::unordered_map<int, Endpoints> openConnections;
+
+int noteSocket(void *userData, curl_socket_t fd, curlsocktype purpose)
+{
+    auto *attempt = static_cast<Attempt *>(userData);
+    attempt->newSocket = fd;
+    return attempt->request.discardsUnsent ? discardUnsent(nullptr, fd, purpose) : detectSilence(nullptr, fd, purpose);
+}
+
+int closeSocket(void *, curl_socket_t fd)
+{
+    openConnections.erase(fd);
+    return close(fd);
+}
+
+/// Whether the server has sent bytes on a kept connection, or closed it, since the last response. Such bytes belong to
+/// no request; libcurl 7.88 would read them as the start of the next response.
+bool hasUnreadBytes(const Endpoints &ends)
+{
+    for (const auto &[fd, it] : openConnections) {
+        if (it.localPort == ends.localPort && it.serverPort == ends.serverPort && it.serverIp == ends.serverIp) {
+            char byte = 0;
+            return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+        }
+    }
+    return false;
+}
+
 /// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
 /// the response. This callback runs before each transmission and aborts the second one.
-int prereqCallback(void *userData, char *, char *, int, int)
+int prereqCallback(void *userData, char *serverIp, char *, int serverPort, int localPort)
 {
     auto *attempt = static_cast<Attempt *>(userData);
     if (attempt->sends > 0) {
         attempt->resendStopped = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    const Endpoints ends{serverIp, serverPort, localPort};
+    if (isOnNewConnection(attempt->handle)) {
+        openConnections[attempt->newSocket] = ends;
+    } else if (hasUnreadBytes(ends)) {
+        attempt->foundUnreadBytes = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (attempt->hooks.beforeSend && !attempt->hooks.beforeSend(isOnNewConnection(attempt->handle))) {
         return CURL_PREREQFUNC_ABORT;
     }
@@ -209,7 +261,9 @@
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(attempt->request.connectTimeoutMs));
-    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, attempt->request.discardsUnsent ? discardUnsent : detectSilence);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, noteSocket);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, attempt);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleLimit(attempt->request.url));
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, attempt->request.keepsConnection ? 0L : 1L);
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, attempt->request.needsNewConnection ? 1L : 0L);
@@ -302,6 +356,16 @@
     }
 }
 
+void UpstreamClient::restart(Attempt *attempt)
+{
+    logEvent(Events::ConnectionUnclean, "closed a kept connection to {}: unread bytes, or its end, arrived on it",
+             originOf(attempt->request.url));
+    attempt->foundUnreadBytes = false;
+    curl_multi_remove_handle(m_multi, attempt->handle);
+    curl_easy_setopt(attempt->handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(m_multi, attempt->handle);
+}
+
 void UpstreamClient::finishAttempts()
 {
     int left = 0;
@@ -312,6 +376,10 @@
         Attempt *attempt = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &attempt);
         const CURLcode code = message->data.result;
+        if (attempt->foundUnreadBytes) {
+            restart(attempt);
+            continue;
+        }
         AttemptResult result;
         result.sent = attempt->sends > 0;
         result.complete = code == CURLE_OK && attempt->headDelivered;
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -133,6 +133,8 @@
     static int socketCallback(CURL *, curl_socket_t fd, int what, void *self, void *socketData);
     static int timerCallback(CURLM *, long timeoutMs, void *self);
     void finishAttempts();
+    /// Starts an attempt again that was kept from a connection with unread bytes.
+    void restart(Attempt *attempt);
     void release(Attempt *attempt);
     CURL *takeHandle();
 
