--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -336,19 +336,31 @@
 {
     const auto info =
         m_shared.dialect()->readResponse(status, [&](const char *name) { return fieldOf(headers, name); });
-    if (request->relay.vm.empty()) {
+    const bool isRelayed = !request->relay.vm.empty();
+    const bool needsId = status < 300 && !info.isNotRun;
+    const bool isMismatched = info.id != request->requestId && (needsId || !info.id.empty());
+    if (isMismatched) {
+        request->defect = Reason::ResponseCut;
+        return false;
+    }
+    if (isRelayed && readRelayRefusal(*request, headers)) {
+        return true;
+    }
+    if (!isRelayed) {
         request->load = info.load;
         observeRate(*request, status, info);
-    } else if (readRelayRefusal(*request, headers)) {
-        return true;
     }
-    if (info.isNotRun && request->relay.vm.empty()) {
+    if (info.isNotRun && !isRelayed) {
         request->serverRefusal = info.reason;
+        request->refusedBy.push_back(request->serverIdentity.name);
+        if (info.id.empty()) {
+            // Without an id, a copy of it that follows on the connection could not be told from a refusal of the next
+            // request.
+            UpstreamClient::closeAfterResponse(request->attempt);
+        }
         return true;
     }
-    const bool isSuccess = status < 300;
-    const bool isMismatched = info.id != request->requestId && (isSuccess || !info.id.empty());
-    if (isMismatched || info.isEncoded) {
+    if (info.isEncoded) {
         request->defect = Reason::ResponseCut;
         return false;
     }
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -87,6 +87,8 @@
     std::int64_t connectTimeoutMs = 1'000;
     /// False closes the connection after the response.
     bool keepsConnection = true;
+    /// True opens a connection for this attempt.
+    bool needsNewConnection = false;
     /// A late request would do harm: see discardUnsent(). Attempts to one server must agree on it.
     bool discardsUnsent = false;
 };
@@ -116,6 +118,8 @@
     Attempt *start(AttemptRequest request, AttemptHooks hooks);
     /// Ends an attempt without calling onDone and closes its connection, which cancels the request at the server.
     void cancel(Attempt *attempt);
+    /// Closes the connection of a running attempt when its response has ended.
+    static void closeAfterResponse(Attempt *attempt);
     /// Continues a body that was paused by readBody or onData. Hooks may run before it returns.
     void resume(Attempt *attempt);
 
@@ -129,6 +133,8 @@
     static int socketCallback(CURL *, curl_socket_t fd, int what, void *self, void *socketData);
     static int timerCallback(CURLM *, long timeoutMs, void *self);
     void finishAttempts();
+    /// Starts an attempt again that was kept from a connection with unread bytes.
+    void restart(Attempt *attempt);
     void release(Attempt *attempt);
     CURL *takeHandle();
 
