--- a/src/proxy/tests/upstreamtest.cpp
+++ b/src/proxy/tests/upstreamtest.cpp
@@ -1,69 +1,12 @@
 #include <gtest/gtest.h>
 
-#include <sys/epoll.h>
-
-#include "proxy/tests/rawserver.h"
-#include "proxy/upstream_p.h"
+#include "proxy/tests/upstreamfixture.h"
 
 using namespace Galenarock;
 
 namespace
 {
 constexpr char KeptAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-constexpr int MaxTurns = 2'000;
-
-class UpstreamTest : public testing::Test
-{
-protected:
-    ~UpstreamTest() override
-    {
-        close(epollFd);
-    }
-
-    /// Runs one attempt until it is done and returns its result.
-    AttemptResult run(const std::string &method, const std::string &address, const std::string &body,
-                      bool keepsConnection = true)
-    {
-        AttemptRequest request;
-        request.keepsConnection = keepsConnection;
-        request.method = method;
-        request.url = "http://" + address + "/x";
-        request.headerLines = {"Expect:"};
-        request.body = body.data();
-        request.bodySize = static_cast<std::int64_t>(body.size());
-        request.timeoutMs = 5'000;
-        AttemptResult result;
-        bool done = false;
-        AttemptHooks hooks;
-        hooks.onHead = [](unsigned, std::vector<HeaderField>) {
-            return true;
-        };
-        hooks.onData = [&](const char *bytes, std::size_t n) {
-            received.append(bytes, n);
-            return DataResult::Taken;
-        };
-        hooks.onDone = [&](const AttemptResult &it) {
-            result = it;
-            done = true;
-        };
-        client.start(std::move(request), std::move(hooks));
-        for (int turn = 0; turn < MaxTurns && !done; ++turn) {
-            epoll_event event{};
-            const int n =
-                epoll_wait(epollFd, &event, 1, std::min(10, std::max(0, client.timeoutMs(MonotonicClock::now()))));
-            if (n == 1) {
-                client.handleSocket(static_cast<int>(event.data.u64 & 0xffffffffULL), event.events);
-            }
-            client.run(MonotonicClock::now());
-        }
-        EXPECT_TRUE(done);
-        return result;
-    }
-
-    int epollFd = epoll_create1(0);
-    UpstreamClient client{epollFd, 0};
-    std::string received;
-};
 }
 
 // Guards against libcurl's automatic resend: when a persistent connection closes before the first byte of the response,
