--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -16,6 +16,8 @@
 {
 /// An object has at most 1 MB, and the list of 10,000 daemons with their servers about 4 MB.
 constexpr std::size_t MaxResponseBytes = 16 << 20;
+/// Heads with a lower status are followed by another head.
+constexpr long FirstFinalStatus = 200;
 
 long curlMilliseconds(Duration duration)
 {
@@ -58,10 +60,8 @@
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &HttpCall::onData);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
     m_eraHeader = settings.dialect.eraHeader;
-    if (!m_eraHeader.empty()) {
-        curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpCall::onHeader);
-        curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
-    }
+    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpCall::onHeader);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
     if (storeCall.method != "GET") {
         curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, storeCall.method.c_str());
     }
@@ -78,7 +78,8 @@
 
 void HttpCall::setResult(CURLcode result)
 {
-    code = result;
+    // libcurl reports success when the connection closes within the head of the response.
+    code = result == CURLE_OK && !m_isHeadComplete ? CURLE_PARTIAL_FILE : result;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
 }
 
@@ -110,8 +111,14 @@
 {
     auto &call = *static_cast<HttpCall *>(self);
     const std::string_view line(data, size * count);
+    if (line == "\r\n" || line == "\n") {
+        long headStatus = 0;
+        curl_easy_getinfo(call.m_easy, CURLINFO_RESPONSE_CODE, &headStatus);
+        call.m_isHeadComplete = headStatus >= FirstFinalStatus;
+        return size * count;
+    }
     const auto &name = call.m_eraHeader;
-    const bool isEra = line.size() > name.size() && line[name.size()] == ':'
+    const bool isEra = !name.empty() && line.size() > name.size() && line[name.size()] == ':'
         && strncasecmp(line.data(), name.data(), name.size()) == 0;
     if (isEra) {
         const auto value = line.substr(std::min(line.size(), line.find_first_not_of(" \t", name.size() + 1)));
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -32,6 +32,7 @@
 
     /// Sets the URL, body, timeouts and callbacks of the handle.
     void prepare(const StoreClientSettings &settings, StoreCall storeCall, Duration timeout);
+    /// `code` as libcurl reports it; a response without the blank line that ends its head counts as failed.
     void setResult(CURLcode code);
 
     CURL *handle() const
@@ -74,6 +75,7 @@
 
     CURL *m_easy;
     std::string m_eraHeader;
+    bool m_isHeadComplete = false;
     curl_slist *m_headers = nullptr;
     std::string m_body;
 };
--- a/src/objectstore/tests/scriptedserver_p.h
+++ b/src/objectstore/tests/scriptedserver_p.h
@@ -46,6 +46,11 @@
     {
         return m_endpoint;
     }
+    /// From now on, each answer is followed by the end of its connection.
+    void closeAfterAnswers()
+    {
+        m_closesAfterAnswers = true;
+    }
     static std::string response(int status, const std::string &body)
     {
         return fmt::format("HTTP/1.1 {} Scripted\r\nContent-Length: {}\r\n\r\n{}", status, body.size(), body);
@@ -103,12 +108,13 @@
         if (!answer) {
             return false;
         }
-        return ::send(connection.fd, answer->data(), answer->size(), MSG_NOSIGNAL) >= 0;
+        return ::send(connection.fd, answer->data(), answer->size(), MSG_NOSIGNAL) >= 0 && !m_closesAfterAnswers;
     }
 
     const Script m_script;
     int m_listener;
     std::string m_endpoint;
     std::atomic<bool> m_stop{false};
+    std::atomic<bool> m_closesAfterAnswers{false};
     Galenarock::Thread m_thread;
 };
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <sstream>
+#include <thread>
 
 #include <galenarock/storeclient.h>
 
@@ -49,6 +51,12 @@
             m_changed.wait(lock);
         }
     }
+    template<typename Event> bool has()
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::any_of(m_events.begin(), m_events.end(),
+                           [](const ControlEvent &it) { return std::holds_alternative<Event>(it); });
+    }
     WriteResultEvent write(std::uint64_t expected = 0)
     {
         client.submit(WriteObjectAction{{"mandate", "vitrina"}, expected, 77, {{"x", 1}}, CallPriority::Leadership});
@@ -118,6 +126,45 @@
     EXPECT_EQ(fixture.write().status, WriteStatus::Unknown);
 }
 
+// Guards against treating an answer of the store whose head is cut as whole: what it says about the object may belong
+// to another era, and a write may have taken effect.
+TEST(StoreClient, answerCutInItsHeadIsNoAnswer)
+{
+    std::vector<std::string> answers;
+    for (const auto *status :
+         {"100 Continue", "200 OK", "404 Not Found", "409 Conflict", "403 Forbidden", "503 Busy"}) {
+        for (const auto *fields : {"", "Content-Length: 0\r", "Content-Length: 0\r\n", "Era: 2\r\n\r"}) {
+            answers.push_back(fmt::format("HTTP/1.1 {}\r\n{}", status, fields));
+        }
+    }
+    std::atomic<std::size_t> next{0};
+    Fixture fixture([&](const std::string &) -> std::optional<std::string> { return answers.at(next++); });
+    fixture.server.closeAfterAnswers();
+    for (const auto &it : answers) {
+        EXPECT_EQ(fixture.write(4).status, WriteStatus::Unknown) << it;
+    }
+}
+
+// Guards against reporting an object as missing because of an answer whose head is cut.
+TEST(StoreClient, missingObjectCutInItsHeadIsNotMissing)
+{
+    Fixture fixture([&](const std::string &request) -> std::optional<std::string> {
+        const bool isRead = request.compare(0, 4, "GET ") == 0;
+        return isRead ? "HTTP/1.1 404 Not Found\r\nEra: 2\r\n" : ScriptedServer::response(200, "{\"version\":5}");
+    });
+    fixture.server.closeAfterAnswers();
+    fixture.client.submit(ReadObjectAction{{"mandate", "vitrina"}, CallPriority::Leadership});
+    const auto reads = [&](const char *result) {
+        const auto labels = fmt::format("kind=\"read\",result=\"{}\"", result);
+        return fixture.metrics.counter("galenarock_platform_calls_total", labels).value();
+    };
+    while (reads("404") + reads("failed") == 0) {
+        std::this_thread::yield();
+    }
+    EXPECT_EQ(fixture.write(4).status, WriteStatus::Applied); // the read's event, if any, comes before this one
+    EXPECT_FALSE(fixture.has<ObjectMissingEvent>());
+}
+
 // Guards against a double write: libcurl by itself sends a PUT again when a reused connection closes.
 TEST(StoreClient, writeOnLostConnectionIsUnknownAndNotSentAgain)
 {
