--- a/src/proxy/tests/cutheadtest.cpp
+++ b/src/proxy/tests/cutheadtest.cpp
@@ -151,6 +151,32 @@
     }
 }
 
+// Guards against passing on the bytes after a 101 response, which no request asks for, as the body of an answer.
+TEST_F(CutHeadTest, bytesAfterSwitchingProtocolsAreNoAnswer)
+{
+    const std::string answer = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nbytes";
+    RawServer server([&](int, const std::string &) { return answer; }, RawServer::AfterAnswer::Close);
+    expectNoAnswer("GET", server, answer);
+}
+
+// Guards against passing on a body after a line that libcurl, but not this client, takes as the end of the head.
+TEST_F(CutHeadTest, bytesAfterALineThatBeginsWithCrAreNoAnswer)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n\rContent-Length: 12\r\n\r\nok";
+    RawServer server([&](int, const std::string &) { return answer; }, RawServer::AfterAnswer::Close);
+    expectNoAnswer("GET", server, answer);
+}
+
+// Guards against a body with the wrong frame: a line without a colon may be the rest of a length or a coding.
+TEST_F(CutHeadTest, lineWithoutAColonIsNoAnswer)
+{
+    for (const std::string answer :
+         {"HTTP/1.1 200 OK\r\nContent-Len\r\n\r\nok", "HTTP/1.1 200 OK\r\nTransfer-Enc\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+        RawServer server([&](int, const std::string &) { return answer; }, RawServer::AfterAnswer::Close);
+        expectNoAnswer("GET", server, answer);
+    }
+}
+
 // Guards against refusing answers that are whole: control for the tests above.
 TEST_F(CutHeadTest, wholeHeadIsAnAnswer)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -86,6 +86,9 @@
 std::size_t writeCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
+    if (!attempt->headDelivered) {
+        return size * n + 1; // after a 101 head or a line that begins with CR, libcurl takes the next bytes as a body
+    }
     switch (attempt->hooks.onData(bytes, size * n)) {
     case DataResult::Taken:
         return size * n;
