--- a/src/proxy/tests/cutheadtest.cpp
+++ b/src/proxy/tests/cutheadtest.cpp
@@ -159,6 +159,24 @@
     expectNoAnswer("GET", server, answer);
 }
 
+// Guards against an answer made of two heads, when a head ends without its blank line and another one follows.
+TEST_F(CutHeadTest, statusLineWithinAHeadIsNoAnswer)
+{
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nHTTP/1.1 404 Not Found\r\nRequest: r-1\r\n\r\nok",
+        "HTTP/1.1 502 Bad Gateway\r\nHTTP/1.1 200 OK\r\nRequest: r-1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 100 Continue\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nHTTP/1.1 404 No: Object\r\nRequest: r-1\r\n\r\nok",
+        "HTTP/1.1 502 Bad Gateway\r\nHTTP/1.1 200 OK: yes\r\nRequest: r-1\r\nContent-Length: 2\r\n\r\nok",
+    };
+    SharedText answer;
+    RawServer server([&](int, const std::string &) { return answer.get(); }, RawServer::AfterAnswer::Close);
+    for (const auto &it : answers) {
+        answer = it;
+        expectNoAnswer("GET", server, it);
+    }
+}
+
 // Guards against passing on a body after a line that libcurl, but not this client, takes as the end of the head.
 TEST_F(CutHeadTest, bytesAfterALineThatBeginsWithCrAreNoAnswer)
 {
@@ -177,6 +195,19 @@
     }
 }
 
+// Guards against taking a trailer for the head of another answer.
+TEST_F(CutHeadTest, trailerThatLooksLikeAStatusLineIsNoHead)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                               "HTTP/1.1 404 No: Object\r\nKeep-Alive: timeout=1\r\n\r\n";
+    RawServer server([&](int, const std::string &) { return answer; }, RawServer::AfterAnswer::Close);
+    const auto result = run("GET", server.address(), "");
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.status, 200U);
+    EXPECT_EQ(heads, 1);
+    EXPECT_EQ(received, "ok");
+}
+
 // Guards against refusing answers that are whole: control for the tests above.
 TEST_F(CutHeadTest, wholeHeadIsAnAnswer)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -22,6 +22,8 @@
     std::vector<HeaderField> responseHeaders;
     unsigned status = 0;
     unsigned sends = 0;
+    /// A status line has arrived, and not yet the blank line after it.
+    bool isInHead = false;
     bool headDelivered = false;
     bool resendStopped = false;
     bool wasPaused = false;
@@ -36,9 +38,6 @@
 /// Returns false when the attempt must be aborted.
 bool deliverHead(Attempt *attempt)
 {
-    if (attempt->headDelivered) {
-        return true;
-    }
     attempt->headDelivered = true;
     return attempt->hooks.onHead(attempt->status, std::move(attempt->responseHeaders));
 }
@@ -60,17 +59,25 @@
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.pop_back();
     }
+    if (attempt->headDelivered) {
+        return size * n; // a trailer
+    }
     if (line.compare(0, 5, "HTTP/") == 0) {
+        if (attempt->isInHead) {
+            return 0; // the head before has no end; libcurl takes the length and status from it
+        }
+        attempt->isInHead = true;
         attempt->status = parseStatus(line);
         attempt->responseHeaders.clear();
         return size * n;
     }
     if (line.empty()) {
+        attempt->isInHead = false;
         const bool isInformational = attempt->status < 200;
         return isInformational || deliverHead(attempt) ? size * n : 0;
     }
     const auto colon = line.find(':');
-    if (colon == std::string::npos || attempt->headDelivered) {
+    if (colon == std::string::npos) {
         return size * n;
     }
     const auto valueStart = line.find_first_not_of(" \t", colon + 1);
