--- a/src/proxy/tests/cutheadtest.cpp
+++ b/src/proxy/tests/cutheadtest.cpp
@@ -177,6 +177,23 @@
     }
 }
 
+// Guards against a body with the wrong frame: a folded line may hold a length or a coding that libcurl does not read.
+TEST_F(CutHeadTest, foldedLineIsNoAnswer)
+{
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\tchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length:\r\n 12\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n 2\r\n\r\nok",
+    };
+    SharedText answer;
+    RawServer server([&](int, const std::string &) { return answer.get(); }, RawServer::AfterAnswer::Close);
+    for (const auto &it : answers) {
+        answer = it;
+        expectNoAnswer("GET", server, it);
+    }
+}
+
 // Guards against passing on a body after a line that libcurl, but not this client, takes as the end of the head.
 TEST_F(CutHeadTest, bytesAfterALineThatBeginsWithCrAreNoAnswer)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -76,6 +76,9 @@
         const bool isInformational = attempt->status < 200;
         return isInformational || deliverHead(attempt) ? size * n : 0;
     }
+    if (line.front() == ' ' || line.front() == '\t') {
+        return 0; // a folded line: libcurl does not join it to the field, which may hold the length or the coding
+    }
     const auto colon = line.find(':');
     if (colon == std::string::npos) {
         return size * n;
