--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -112,6 +112,22 @@
     EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
 }
 
+// Guards against a leader that takes the first lines of an answer for the whole: a grant that is not confirmed, or a
+// refusal of a call that the server may have accepted. The log names the cause.
+TEST_F(LeaseCallerTest, AnswerCutInItsHeadIsUnknown)
+{
+    for (const std::string status : {"100 Continue", "200 OK", "409 Conflict", "404 Not Found"}) {
+        for (const std::string fields : {"", "Content-Length: 0\r", "Content-Length: 0\r\n", "Handover: x\r\n\r"}) {
+            const auto answer = "HTTP/1.1 " + status + "\r\n" + fields;
+            RawServer server([&](int, const std::string &) { return answer; }, RawServer::AfterAnswer::Close);
+            const auto reply = call(server.address(), later());
+            EXPECT_EQ(reply.status, LeaseCallStatus::Unknown) << answer;
+            EXPECT_NE(reply.detail.find(" on a new connection"), std::string::npos) << reply.detail;
+            EXPECT_NE(reply.detail.find(" on a new connection"), 0U) << answer;
+        }
+    }
+}
+
 // Guards against a log that does not tell why a server counts as silent.
 TEST_F(LeaseCallerTest, FailedCallsNameTheirCause)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -286,6 +286,15 @@
 
 namespace
 {
+/// libcurl reports success when the connection closes within the head of the response.
+const char *errorText(CURLcode code, bool isComplete)
+{
+    if (code != CURLE_OK) {
+        return curl_easy_strerror(code);
+    }
+    return isComplete ? "" : "connection closed within the head of the response";
+}
+
 /// `http://ip:port` of a URL.
 std::string originOf(const std::string &url)
 {
@@ -326,7 +335,7 @@
         result.resendStopped = attempt->resendStopped;
         result.isNewConnection = isOnNewConnection(attempt->handle);
         result.status = attempt->status;
-        result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+        result.error = errorText(code, result.complete);
         updateIdleLimit(*attempt);
         const auto onDone = std::move(attempt->hooks.onDone);
         release(attempt);
