--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -25,6 +25,8 @@
     std::vector<HeaderField> responseHeaders;
     unsigned status = 0;
     unsigned sends = 0;
+    /// A status line has arrived, and not yet the blank line after it.
+    bool isInHead = false;
     bool headDelivered = false;
     bool resendStopped = false;
     /// The connection was not used because of unread bytes.
@@ -43,9 +45,6 @@
 /// Returns false when the attempt must be aborted.
 bool deliverHead(Attempt *attempt)
 {
-    if (attempt->headDelivered) {
-        return true;
-    }
     attempt->headDelivered = true;
     return attempt->hooks.onHead(attempt->status, std::move(attempt->responseHeaders));
 }
@@ -67,17 +66,28 @@
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.pop_back();
     }
+    if (attempt->headDelivered) {
+        return size * n; // a trailer
+    }
     if (line.compare(0, 5, "HTTP/") == 0) {
+        if (attempt->isInHead) {
+            return 0; // the head before has no end; libcurl takes the length and status from it
+        }
+        attempt->isInHead = true;
         attempt->status = parseStatus(line);
         attempt->responseHeaders.clear();
         return size * n;
     }
     if (line.empty()) {
+        attempt->isInHead = false;
         const bool isInformational = attempt->status < 200;
         return isInformational || deliverHead(attempt) ? size * n : 0;
     }
+    if (line.front() == ' ' || line.front() == '\t') {
+        return 0; // a folded line: libcurl does not join it to the field, which may hold the length or the coding
+    }
     const auto colon = line.find(':');
-    if (colon == std::string::npos || attempt->headDelivered) {
+    if (colon == std::string::npos) {
         return size * n;
     }
     const auto valueStart = line.find_first_not_of(" \t", colon + 1);
@@ -93,6 +103,9 @@
 std::size_t writeCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
+    if (!attempt->headDelivered) {
+        return size * n + 1; // after a 101 head or a line that begins with CR, libcurl takes the next bytes as a body
+    }
     switch (attempt->hooks.onData(bytes, size * n)) {
     case DataResult::Taken:
         return size * n;
@@ -333,6 +346,15 @@
 
 namespace
 {
+/// libcurl reports success when the connection closes within the head of the response.
+const char *errorText(CURLcode code, bool isComplete)
+{
+    if (code != CURLE_OK) {
+        return curl_easy_strerror(code);
+    }
+    return isComplete ? "" : "connection closed within the head of the response";
+}
+
 /// `http://ip:port` of a URL.
 std::string originOf(const std::string &url)
 {
@@ -387,7 +409,7 @@
         result.resendStopped = attempt->resendStopped;
         result.isNewConnection = isOnNewConnection(attempt->handle);
         result.status = attempt->status;
-        result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+        result.error = errorText(code, result.complete);
         updateIdleLimit(*attempt);
         const auto onDone = std::move(attempt->hooks.onDone);
         release(attempt);
