--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -1,17 +1,9 @@
-#include <gtest/gtest.h>
-
-#include <fmt/format.h>
-
-#include "proxy/tests/rawserver.h"
-#include "proxy/worker_p.h"
+#include "proxy/tests/workerfixture.h"
 
 using namespace Galenarock;
 
 namespace
 {
-/// More passes of the event loop than any step of these tests needs.
-constexpr int MaxPasses = 20'000;
-
 std::string idOf(const std::string &request)
 {
     const auto start = request.find("Request: ") + 9;
@@ -31,21 +23,9 @@
 }
 
 /// Dialect with the headers `Request` (id) and `Not-Run`.
-std::shared_ptr<const RequestDialect> testDialect()
+std::shared_ptr<const RequestDialect> refusalDialect()
 {
-    RequestDialect dialect;
-    dialect.hasRouteTable = true;
-    dialect.readRequest = [](const HeaderLookup &header) {
-        RequestInfo info;
-        info.id = std::string(header("Request"));
-        info.position = 0;
-        return info;
-    };
-    dialect.isOverwrittenHeader = [](std::string_view) {
-        return false;
-    };
-    dialect.writeAttempt = [](const AttemptInfo &, HeaderLines &) {
-    };
+    auto dialect = *workerTestDialect();
     dialect.readResponse = [](unsigned status, const HeaderLookup &header) {
         ResponseInfo info;
         info.id = std::string(header("Request"));
@@ -53,78 +33,34 @@
         info.reason = status == 421 ? Reason::NotOwner : Reason::ServerShed;
         return info;
     };
-    dialect.isStrippedHeader = [](std::string_view) {
-        return false;
-    };
-    dialect.writeRefusal = [](const Refusal &, HeaderPairs &) {
-    };
     return std::make_shared<const RequestDialect>(std::move(dialect));
 }
 
-/// Drives one worker on the test's thread; its route `/a/` leads to the servers of the test.
-class StaleAnswerTest : public testing::Test
+/// One worker whose route `/a/` leads to the servers of the test; its requests may run once.
+class StaleAnswerTest : public WorkerTest
 {
 protected:
     StaleAnswerTest()
     {
-        shared.setDialect(testDialect());
+        shared.setDialect(refusalDialect());
+        repeatability = Repeatability::AtMostOnce;
+        routeTimeoutMs = 5'000;
     }
 
     void start(const std::vector<std::string> &addresses, Distribution distribution = Distribution::Balanced)
     {
-        RouteConfiguration configuration;
-        RouteRule rule;
-        rule.host = "shop.example";
-        rule.prefix = "/a/";
-        rule.destinations = {{"shop", 1}};
-        rule.repeatability = Repeatability::AtMostOnce;
-        rule.timeoutMs = 5'000;
-        rule.maxAttempts = 3;
-        configuration.routes = {rule};
-        RoutingInput input;
-        ServiceDocument document;
-        document.service = "shop";
-        document.distribution = distribution;
-        document.pool.connections = 10;
-        input.documents = {document};
-        Assignment assignment;
-        assignment.service = "shop";
-        assignment.epoch = 1;
-        assignment.nextSequence = 2;
-        for (std::size_t n = 0; n < addresses.size(); ++n) {
-            const auto name = fmt::format("shop-{}", n);
-            input.vms.vms.push_back({name, VmRole::Backend, "shop", "rioja", addresses[n], "", VmState::Live});
-            assignment.servers.push_back({name, 0});
-        }
-        assignment.slices = {{{0, ~KeyHash(0)}, ServerIndex(0), 1, {}}};
-        input.assignments.push_back(assignment);
-        input.routes = std::make_shared<const RouteTable>(configuration);
-        shared.setSnapshot(RoutingSnapshot::build(input, MonotonicClock::now()));
-        ASSERT_TRUE(worker.listen({"127.0.0.1:0"}));
-        worker.runOnce();
+        setRoutes(addresses, distribution);
+        listen();
     }
 
     /// Sends one request that may run once on a connection of its own; returns the status that its caller got.
     int statusOf(const std::string &id)
     {
-        const auto address = worker.address();
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
-        EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to), 0);
-        const auto text =
-            fmt::format("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx", id);
-        EXPECT_EQ(write(fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
-        std::string received;
-        for (int n = 0; n < MaxPasses && received.find("\r\n\r\n") == std::string::npos; ++n) {
-            worker.runOnce();
-            char buf[4096];
-            const auto got = recv(fd, buf, sizeof buf, MSG_DONTWAIT);
-            received.append(buf, got > 0 ? static_cast<std::size_t>(got) : 0);
-        }
-        close(fd);
+        RawCaller caller(worker.address());
+        caller.send(
+            fmt::format("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx", id));
+        runUntil([&] { return caller.received().find("\r\n\r\n") != std::string::npos; });
+        const auto received = caller.received();
         return received.size() > 12 ? std::stoi(received.substr(9, 3)) : 0;
     }
 
@@ -135,10 +71,6 @@
             EXPECT_EQ(statusOf("first"), 200);
         }
     }
-
-    Metrics metrics;
-    ProxyShared shared{metrics, {"vm-1", 11}, PeerKey{}};
-    Worker worker{shared};
 };
 }
 
