--- a/include/galenarock/serverreach.h
+++ b/include/galenarock/serverreach.h
@@ -19,7 +19,7 @@
     /// says nothing about this VM.
     std::size_t minFailures = 3;
     std::size_t minServers = 2;
-    /// While the VM is cut off, one attempt in this time goes to a server, to find out whether it is still cut off.
+    /// While the VM is cut off, one request in this time goes to a server, to find out whether it is still cut off.
     Duration probeInterval = milliseconds(500);
 };
 
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -52,6 +52,9 @@
     /// The request was forwarded by another daemon: because this daemon is the ledger owner of the request id, or
     /// because that daemon does not reach the servers.
     bool viaPeer = false;
+    /// The attempt finds out whether this VM reaches servers again. It needs a new connection, since a kept one may
+    /// hang, and a request for which none can be opened has not been sent.
+    bool isProbe = false;
     /// False for a request that was relayed by another daemon: it is not relayed again.
     bool mayRelay = true;
     RelayedRequest relayed;
--- a/src/proxy/relaying.cpp
+++ b/src/proxy/relaying.cpp
@@ -58,7 +58,8 @@
 bool RequestHandler::dispatchWithoutServers(const Pending &request)
 {
     auto &reach = m_shared.serverReach();
-    if (!reach.isCutOff() || (request->idempotent && request->mayRelay && reach.takeProbe(m_now))) {
+    request->isProbe = reach.isCutOff() && request->mayRelay && reach.takeProbe(m_now);
+    if (!reach.isCutOff() || request->isProbe) {
         return false;
     }
     if (!mayRelay(*request) || !relay(request, "no server answers this VM")) {
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -350,8 +350,8 @@
         attempt.connectTimeoutMs = RoutedConnectTimeoutMs;
         attempt.keepsConnection = request->keepsConnection;
         const auto &refusedBy = request->refusedBy;
-        attempt.needsNewConnection =
-            std::find(refusedBy.begin(), refusedBy.end(), request->serverIdentity.name) != refusedBy.end();
+        attempt.needsNewConnection = request->isProbe
+            || std::find(refusedBy.begin(), refusedBy.end(), request->serverIdentity.name) != refusedBy.end();
     } else {
         attempt.headerLines = makeHeaders(*request, m_now);
     }
--- a/src/proxy/tests/relayingtest.cpp
+++ b/src/proxy/tests/relayingtest.cpp
@@ -159,6 +159,22 @@
     EXPECT_NE(seen.find("Galenarock-Peer-Auth: "), std::string::npos) << seen;
 }
 
+// Guards against a VM that refuses everything for good because only requests that may run once arrive (RECOVER).
+TEST_F(RelayingTest, RequestsThatMayRunOnlyOnceFindTheServersAgain)
+{
+    repeatability = Repeatability::AtMostOnce;
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({server.address()}, Distribution::Balanced);
+    listen();
+    loseServers(shared);
+    EXPECT_NE(answerToRequest(1).find("HTTP/1.1 503"), std::string::npos);
+    for (int n = 0; n < 4; ++n) {
+        stall(); // together longer than the interval of probes
+    }
+    EXPECT_NE(answerToRequest(1).find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_FALSE(shared.serverReach().isCutOff());
+}
+
 // Guards against a relay's answer that breaks off and looks complete to the caller.
 TEST_F(RelayingTest, AnswerThatBreaksOffAtTheRelayIsNotPassedOnAsComplete)
 {
