Read peer messages of builds with fewer or more fields

The fields of a message and their order now stay as they are. hasServerContact is read when it is there. A field that a later build adds goes into a numbered list after the others, which a reader skips where it does not know it. Frames keep their version number and accept no further bytes.

Before the change LeaseMessagesTest.LoadReportWithoutServerContactIsRead fails: the decoded report is empty. LeaseMessagesTest (4), and the tests of the transport, membership and configuration pass.

--- a/src/leases/messages.cpp
+++ b/src/leases/messages.cpp
@@ -45,7 +45,11 @@
     bool hasServerContact = false;
     template<typename Archive> void serialize(Archive &archive)
     {
-        archive(service, seconds, positions, servers, hasServerContact);
+        archive(service, seconds, positions, servers);
+    }
+    template<typename Archive> void serializeSecond(Archive &archive)
+    {
+        archive(hasServerContact);
     }
 };
 
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -98,7 +98,7 @@
     if (sodium_memcmp(mac.data(), bytes.data() + body.size(), MacBytes) != 0) {
         return fail(ErrorCode::BadMac, fmt::format("MAC mismatch in frame of {} bytes", bytes.size()));
     }
-    BOOST_LEAF_AUTO(wire, Wire::decode<WireFrame>(body));
+    BOOST_LEAF_AUTO(wire, Wire::decodeExact<WireFrame>(body));
     return std::move(wire.frame);
 }
 
--- a/src/peer/wire_p.h
+++ b/src/peer/wire_p.h
@@ -9,13 +9,19 @@
 
 #include <galenarock/error.h>
 
-/// Helpers for cereal encodings that check lengths against a limit before memory is allocated.
+/// Helpers for cereal encodings that check lengths against a limit before memory is allocated, and for messages that
+/// daemons of another build read or write.
 namespace Galenarock::Wire
 {
 
 using OutputArchive = cereal::PortableBinaryOutputArchive;
 using InputArchive = cereal::PortableBinaryInputArchive;
 
+inline constexpr std::size_t maxAddedFields = 16;
+inline constexpr std::size_t maxAddedFieldBytes = 1'024;
+/// Byte order mark at the beginning of cereal's portable archives.
+inline constexpr std::size_t byteOrderMarkBytes = 1;
+
 inline void checkSize(std::size_t size, std::size_t bound)
 {
     if (size > bound) {
@@ -71,15 +77,58 @@
     return stream.str();
 }
 
-/// Fails with MalformedMessage when bytes are missing or left over, or a length exceeds its limit.
-template<typename T> Result<T> decode(std::string_view bytes)
+/// A field that a later build has added to a message. Added fields follow the fields of the first build as a list, in
+/// ascending order of their numbers; a message without any ends before the list.
+struct AddedField
+{
+    /// From 1. A number is never used again for another field of the same message.
+    std::uint8_t number = 0;
+    std::string value;
+
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(number);
+        text<std::uint16_t>(archive, value, maxAddedFieldBytes);
+    }
+};
+
+/// Whether the input has ended.
+inline bool isAtEnd(std::istream &stream)
+{
+    return stream.peek() == std::istream::traits_type::eof();
+}
+
+/// Reads the added fields to the end of the input. Throws when anything else is there.
+template<typename Archive> std::vector<AddedField> readAddedFields(std::istream &stream, Archive &archive)
+{
+    std::vector<AddedField> fields;
+    if (isAtEnd(stream)) {
+        return fields;
+    }
+    list(archive, fields, maxAddedFields);
+    std::uint8_t before = 0;
+    for (const auto &it : fields) {
+        if (it.number <= before) {
+            throw cereal::Exception("added fields are not in ascending order");
+        }
+        before = it.number;
+    }
+    if (fields.empty() || !isAtEnd(stream)) {
+        throw cereal::Exception("bytes after the end of the message");
+    }
+    return fields;
+}
+
+/// Fails with MalformedMessage when bytes are missing or left over, or a length exceeds its limit. For formats whose
+/// version number changes with each field.
+template<typename T> Result<T> decodeExact(std::string_view bytes)
 {
     std::istringstream stream{std::string(bytes)};
     try {
         InputArchive archive(stream);
         T value;
         archive(value);
-        if (stream.peek() != std::istringstream::traits_type::eof()) {
+        if (!isAtEnd(stream)) {
             return fail(ErrorCode::MalformedMessage, "bytes after the end of the message");
         }
         return value;
@@ -88,4 +137,30 @@
     }
 }
 
+/// Like decodeExact, but skips fields that a later build has added.
+template<typename T> Result<T> decode(std::string_view bytes)
+{
+    std::istringstream stream{std::string(bytes)};
+    try {
+        InputArchive archive(stream);
+        T value;
+        archive(value);
+        readAddedFields(stream, archive);
+        return value;
+    } catch (const cereal::Exception &e) {
+        return fail(ErrorCode::MalformedMessage, e.what());
+    }
+}
+
+/// Bytes of added fields, to be appended to those of a message.
+inline std::string encodeAddedFields(std::vector<AddedField> fields)
+{
+    std::ostringstream stream;
+    {
+        OutputArchive archive(stream, OutputArchive::Options::LittleEndian());
+        list(archive, fields, maxAddedFields);
+    }
+    return stream.str().substr(byteOrderMarkBytes);
+}
+
 }
