Relay requests only to VMs whose build takes relays

During a rolling upgrade a VM without servers chose any other VM as a relay. A build before the relays does not know their header: it takes the request for a caller's, with attempts and retries of its own, and its refusals were taken for a server's answer.

A process that states nothing has none of the features. Only members that state relays are chosen. The status shows the builds; lines 409, 410 and 130 tell of them.

The wiring in the control plane has no test of its own; a run of two builds is to show it.

--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -2,7 +2,7 @@
 
 #include <galenarock/eventlog.h>
 
-/// Log events of the gateway, numbers 120 to 129. Documented in docs/events.md.
+/// Log events of the gateway, numbers 120 to 130. Documented in docs/events.md.
 namespace Galenarock::Events
 {
 
@@ -14,6 +14,7 @@
 inline constexpr EventType PeersOpened{125, Severity::Info, "peers-opened"};
 inline constexpr EventType ReadinessChanged{126, Severity::Info, "readiness-changed"};
 inline constexpr EventType DaemonEntryRefused{127, Severity::Warning, "daemon-entry-refused"};
+inline constexpr EventType FeatureUseChanged{130, Severity::Info, "feature-use-changed"};
 inline constexpr EventType PeerKeyReplaced{129, Severity::Warning, "peer-key-replaced"};
 inline constexpr EventType ReloadIgnored{128, Severity::Info, "reload-ignored"};
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -139,6 +139,9 @@
     hooks.membersChanged = [this](const std::vector<Member> &it) {
         setMembers(it);
     };
+    hooks.relaysChanged = [this](const std::vector<Member> &it) {
+        shared.relays().setMembers(self, settings.failureDomain, it);
+    };
     hooks.snapshotChanged = [this](const std::shared_ptr<const RoutingSnapshot> &it) {
         shared.setSnapshot(it);
     };
@@ -178,7 +181,6 @@
     store->setDaemonCount(static_cast<std::size_t>(live));
     peers->setMembers(members);
     shared.serverLimits().setMembers(MonotonicClock::now(), members);
-    shared.relays().setMembers(self, settings.failureDomain, members);
     const std::lock_guard lock(m_membersMutex);
     m_members = members;
 }
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -68,6 +68,7 @@
     , m_dialect(std::move(dialect))
     , m_hooks(std::move(hooks))
     , m_membership(membershipSettings(m_settings, {}))
+    , m_features(m_settings.self, ownBuild())
     , m_status(std::make_shared<const nlohmann::json>(nlohmann::json::object()))
 {
 }
@@ -96,6 +97,11 @@
             m_hooks.requestMessage(*peer);
             return;
         }
+        if (peer->type == FeatureMessage::Statement) {
+            carryOut(now, m_features.receive(*peer));
+            publishFeatures();
+            return;
+        }
     } else if (std::holds_alternative<StopEvent>(event)) {
         m_isStopping = true;
     }
@@ -109,6 +115,7 @@
         serversChanged(now);
     }
     joinFleet(now);
+    carryOut(now, m_features.tick(now));
     const bool reachesServers = m_hooks.reachesServers();
     for (auto &[service, controller] : m_leases) {
         controller.setReachesServers(reachesServers);
@@ -378,6 +385,8 @@
         } else if (const auto *members = std::get_if<PublishMembersAction>(&action)) {
             m_members = members->members;
             m_hooks.membersChanged(m_members);
+            m_features.setMembers(m_members);
+            publishFeatures();
             stepLeases(now, MembersEvent{m_members});
         } else if (const auto *decision = std::get_if<DecisionAction>(&action)) {
             logEvent(decision->event, "{} {}-{}: {}", decision->service, toHex(decision->range.first),
@@ -387,6 +396,19 @@
     }
 }
 
+/// Called when a member or its build has changed.
+void GatewayControlPlane::publishFeatures()
+{
+    const auto relays = m_features.membersWith(PeerFeature::Relays);
+    m_hooks.relaysChanged(relays);
+    const bool isFleetWide = m_features.isFleetWide(PeerFeature::Relays);
+    if (isFleetWide != m_areRelaysFleetWide) {
+        m_areRelaysFleetWide = isFleetWide;
+        logEvent(Events::FeatureUseChanged, "{} of {} known daemons take relayed requests", relays.size(),
+                 m_members.size());
+    }
+}
+
 void GatewayControlPlane::sendLoadReports(Instant now)
 {
     if (now < m_nextLoadAt) {
@@ -459,6 +481,18 @@
     }
 }
 
+/// Version and features of each member; null for a build that has stated none.
+nlohmann::json GatewayControlPlane::builds() const
+{
+    auto list = nlohmann::json::object();
+    for (const auto &it : m_members) {
+        const auto build = m_features.build(it.identity);
+        list[it.identity.name] =
+            build ? nlohmann::json{{"version", build->version}, {"features", featureNames(*build)}} : nlohmann::json();
+    }
+    return list;
+}
+
 void GatewayControlPlane::publishStatus(Instant)
 {
     auto leases = nlohmann::json::object();
@@ -474,7 +508,8 @@
                           {"configurationVersion", m_routes ? m_routes->configuration().version : 0},
                           {"servers", m_servers.size()},
                           {"daemons", m_members.size()},
-                          {"leases", std::move(leases)}};
+                          {"leases", std::move(leases)},
+                          {"builds", builds()}};
     std::atomic_store(&m_status, std::make_shared<const nlohmann::json>(std::move(status)));
 }
 
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -8,6 +8,7 @@
 
 #include <galenarock/gateway.h>
 #include <galenarock/membership.h>
+#include <galenarock/peerfeatures.h>
 #include <galenarock/routing.h>
 
 #include "daemon/decisionlog_p.h"
@@ -25,6 +26,8 @@
     std::function<void(const LeaseCall &)> callServer;
     std::function<void(const SendPeerAction &)> sendPeer;
     std::function<void(const std::vector<Member> &)> membersChanged;
+    /// The members whose build takes relayed requests.
+    std::function<void(const std::vector<Member> &)> relaysChanged;
     std::function<void(const std::shared_ptr<const RoutingSnapshot> &)> snapshotChanged;
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     std::function<std::vector<KeyLoad>()> takeLoads;
@@ -99,6 +102,7 @@
     void writeDaemonEntry(std::uint64_t version);
     void serversChanged(Instant now);
     void sendLoadReports(Instant now);
+    void publishFeatures();
     void stepMembership(Instant now, const ControlEvent &event);
     void stepLeases(Instant now, const ControlEvent &event);
     void carryOut(Instant now, LeaseActions actions);
@@ -107,12 +111,15 @@
     void publishSnapshot(Instant now);
     void publishStatus(Instant now);
     std::vector<ServiceDocument> documents() const;
+    nlohmann::json builds() const;
 
     GatewayControlPlaneSettings m_settings;
     GatewayDialect m_dialect;
     GatewayHooks m_hooks;
     MembershipCore m_membership;
     std::vector<Member> m_members;
+    PeerFeatures m_features;
+    bool m_areRelaysFleetWide = false;
     VmList m_daemons;
     std::shared_ptr<const RouteTable> m_routes;
     ServerDirectory m_servers;
--- a/src/membership/events_p.h
+++ b/src/membership/events_p.h
@@ -13,4 +13,6 @@
 inline constexpr EventType MemberForgotten{406, Severity::Info, "member-forgotten"};
 inline constexpr EventType OwnPause{407, Severity::Warning, "own-pause"};
 inline constexpr EventType OwnSuspicionRefuted{408, Severity::Warning, "own-suspicion-refuted"};
+inline constexpr EventType PeerBuildSeen{409, Severity::Info, "peer-build-seen"};
+inline constexpr EventType PeerBuildMalformed{410, Severity::Warning, "peer-build-malformed"};
 }
