Refuse requests that a planned stop would cut

LOST: in a planned stop requests were taken over kept connections until the end and passed on; at the stop deadline they were cut without an answer, among them requests that may run only once. Nothing compared the time that was left with the time that a request may take.

From the beginning of a stop with a deadline, a request whose own deadline (the smaller of the caller's and the route's) is later than the last answer of the VM is refused at once with 503, reason stopping, not run, and its connection is closed: when its head is read, and again before each attempt, so that requests that waited for an owner or a permit, and retries, are held to it as well. A retry of a request that may have run is not sent either; its caller gets 502. What has been passed on is not broken off. The same holds for galenarockd.

Passing such requests on while they are expected to be short was weighed: most would end in time, but for one that does not its caller gets no answer, while a refused one costs its caller one more try at another VM.

--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -136,6 +136,16 @@
     {
         m_draining.store(true, std::memory_order_relaxed);
     }
+    /// Time by which this VM must have sent its last answer; Instant::max() without one. A request whose deadline is
+    /// later is not sent to a server any more.
+    Instant lastAnswerAt() const
+    {
+        return Instant(Duration(m_lastAnswerAt.load(std::memory_order_relaxed)));
+    }
+    void setLastAnswerAt(Instant time)
+    {
+        m_lastAnswerAt.store(time.time_since_epoch().count(), std::memory_order_relaxed);
+    }
     /// Collects the load by key position of all workers.
     KeyLoadCollector &keyLoads()
     {
@@ -204,6 +214,7 @@
     KeyLoadCollector m_keyLoads;
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_refusing{false};
+    std::atomic<Duration::rep> m_lastAnswerAt{Instant::max().time_since_epoch().count()};
     std::atomic<std::int64_t> m_inFlight{0};
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -264,14 +264,15 @@
 bool Daemon::Impl::stop()
 {
     const auto startedAt = MonotonicClock::now();
+    const auto limit = settings.stopDeadlineMs > 0 ? startedAt + milliseconds(settings.stopDeadlineMs) : Instant::max();
     logEvent(Events::DaemonStopping, "planned stop with {} requests in flight", shared.inFlight().load());
     ready.store(false);
+    shared.setLastAnswerAt(limit);
     shared.ledger().drain(startedAt);
     control->post(EventSource::Main, StopEvent());
     sleepFor(milliseconds(settings.stopNoticeMs));
     shared.setRefusing();
     proxy.quiesce();
-    const auto limit = settings.stopDeadlineMs > 0 ? startedAt + milliseconds(settings.stopDeadlineMs) : Instant::max();
     const bool finished = waitUntil(limit, [this] { return shared.inFlight().load() == 0; });
     if (!finished) {
         logEvent(Events::StopDeadline, "the stop deadline passed; {} requests in flight are aborted",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -320,16 +320,19 @@
 bool Gateway::Impl::stop()
 {
     const auto startedAt = MonotonicClock::now();
+    const auto deadline = settings.stopDeadlineMs > 0
+        ? startedAt + milliseconds(settings.stopDeadlineMs) - ThreadStopReserve
+        : Instant::max();
     logEvent(Events::DaemonStopping, "planned stop with {} requests in flight", shared.inFlight().load());
     isStopping.store(true);
+    if (deadline != Instant::max()) {
+        shared.setLastAnswerAt(deadline - FlushTime);
+    }
     shared.setDraining();
     control->post(EventSource::Main, StopEvent());
     sleepFor(milliseconds(settings.stopNoticeMs));
     proxy.quiesce();
     proxy.closeIdle();
-    const auto deadline = settings.stopDeadlineMs > 0
-        ? startedAt + milliseconds(settings.stopDeadlineMs) - ThreadStopReserve
-        : Instant::max();
     const bool finished =
         waitUntil(deadline, [this] { return shared.inFlight().load() == 0 && proxy.connectionCount() == 0; });
     if (!finished) {
--- a/src/proxy/relaying.cpp
+++ b/src/proxy/relaying.cpp
@@ -51,8 +51,8 @@
 {
     const bool mayRunNow = request.idempotent || !request.plan->mayHaveRun();
     const bool isBodyComplete = !request.streamsBody || request.bodyReceived == 0;
-    return request.mayRelay && mayRunNow && isBodyComplete && request.triedRelays.size() < MaxRelays
-        && request.sentAttempts < request.rule->maxAttempts;
+    return request.mayRelay && !mayOutlastVm(request) && mayRunNow && isBodyComplete
+        && request.triedRelays.size() < MaxRelays && request.sentAttempts < request.rule->maxAttempts;
 }
 
 bool RequestHandler::dispatchWithoutServers(const Pending &request)
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -15,6 +15,8 @@
 {
 constexpr Duration SweepInterval = milliseconds(20);
 constexpr Duration LoadInterval = seconds(2);
+/// Retry-after time of a request that this VM cannot finish before it stops.
+constexpr Duration StopRetryAfter = milliseconds(100);
 /// A reachable server accepts a connection within a few milliseconds; if a packet is lost, one attempt takes this long.
 constexpr std::int64_t RoutedConnectTimeoutMs = 300;
 
@@ -79,11 +81,30 @@
         refuse(request, refusal);
         return;
     }
+    if (mayOutlastVm(*request)) {
+        refuseForStop(request);
+        return;
+    }
     exchange->onBody = [this, weak] {
         withRequest(weak, [&](const Pending &it) { receiveBody(it); });
     };
 }
 
+bool RequestHandler::mayOutlastVm(const PendingRequest &request) const
+{
+    return request.deadline > m_shared.lastAnswerAt();
+}
+
+/// Another VM takes the request at once.
+void RequestHandler::refuseForStop(const Pending &request)
+{
+    const bool mayHaveRun = request->plan && request->plan->mayHaveRun();
+    refuse(request,
+           {Reason::StoppingVm, mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+            "the request may take longer than the planned stop of this VM",
+            duration_cast<milliseconds>(StopRetryAfter).count()});
+}
+
 void RequestHandler::receiveGrant(const Pending &request)
 {
     auto &exchange = *request->exchange;
@@ -239,6 +260,10 @@
         dispatchRouted(request);
         return;
     }
+    if (mayOutlastVm(*request)) {
+        refuseForStop(request);
+        return;
+    }
     if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
         refuse(request, *refusal);
         return;
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -105,6 +105,9 @@
 
     // callers that have left (leftcallers.cpp)
     /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
+    /// Whether the request may run for longer than this VM, which is stopping.
+    bool mayOutlastVm(const PendingRequest &request) const;
+    void refuseForStop(const Pending &request);
     static bool hasCallerLeft(const PendingRequest &request);
     /// Ends a request whose caller has left: it is not sent, and an attempt in flight is cancelled unless its outcome
     /// must be recorded.
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -187,6 +187,10 @@
     if (request->finished || request->attempt) {
         return;
     }
+    if (mayOutlastVm(*request)) {
+        refuseForStop(request);
+        return;
+    }
     auto &traffic = *request->traffic;
     if (const auto refusal = m_shared.suspects().refusalFor(m_now, request->fingerprint)) {
         auto routed = *refusal;
