--- a/src/peer/wire_p.h
+++ b/src/peer/wire_p.h
@@ -119,37 +119,36 @@
     return fields;
 }
 
-/// Fails with MalformedMessage when bytes are missing or left over, or a length exceeds its limit. For formats whose
-/// version number changes with each field.
-template<typename T> Result<T> decodeExact(std::string_view bytes)
+/// Reads a value and then, with `readEnd(stream, archive)`, the rest of the input.
+template<typename T, typename ReadEnd> Result<T> decodeWith(std::string_view bytes, const ReadEnd &readEnd)
 {
     std::istringstream stream{std::string(bytes)};
     try {
         InputArchive archive(stream);
         T value;
         archive(value);
-        if (!isAtEnd(stream)) {
-            return fail(ErrorCode::MalformedMessage, "bytes after the end of the message");
-        }
+        readEnd(stream, archive);
         return value;
     } catch (const cereal::Exception &e) {
         return fail(ErrorCode::MalformedMessage, e.what());
     }
 }
 
+/// Fails with MalformedMessage when bytes are missing or left over, or a length exceeds its limit. For formats whose
+/// version number changes with each field.
+template<typename T> Result<T> decodeExact(std::string_view bytes)
+{
+    return decodeWith<T>(bytes, [](std::istream &stream, InputArchive &) {
+        if (!isAtEnd(stream)) {
+            throw cereal::Exception("bytes after the end of the message");
+        }
+    });
+}
+
 /// Like decodeExact, but skips fields that a later build has added.
 template<typename T> Result<T> decode(std::string_view bytes)
 {
-    std::istringstream stream{std::string(bytes)};
-    try {
-        InputArchive archive(stream);
-        T value;
-        archive(value);
-        readAddedFields(stream, archive);
-        return value;
-    } catch (const cereal::Exception &e) {
-        return fail(ErrorCode::MalformedMessage, e.what());
-    }
+    return decodeWith<T>(bytes, [](std::istream &stream, InputArchive &archive) { readAddedFields(stream, archive); });
 }
 
 /// Bytes of added fields, to be appended to those of a message.
