Use higher epochs than a lost leader after a restored store

A leader was cut from everything, and its successor moved a range from s-1 to s-0 unheard. The store came back from a copy before that, the successor ended, and s-1 restarted. The earlier leader wrote its record again under its old epoch and granted s-1 the range under a token below the one of s-0. When it ended soon, the next leader trusted the record and used the epoch of the lost successor again. The other servers refused the old tokens without an end (RECOVER): 13 of 64 positions were served 9 s later.

A successor that finds an unknown former leader in the record now takes an epoch above all of earlier eras, as for a record of an earlier era. A leader that wrote its record again raises its own epoch in the same way, with the write that it makes once no unknown leader can be left, and keeps that leader in the record until the write is applied. Not earlier: with a higher epoch at once, a successor that is alive would give way to a leader that does not know the holders. New tokens have the new epoch once all grants of the unknown leader have ended. Until then servers that know a token of that leader must refuse the ones of this daemon, also renewals after a lost reply.

--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -175,6 +175,9 @@
 
 void LeaseController::Private::adoptAsLeader(const LeaseRecord &record)
 {
+    if (record.epoch > m_epoch && record.leader == m_settings.self) {
+        raiseEpoch(record.epoch); // the write had no answer
+    }
     const bool isLost = record.epoch < m_epoch || (record.epoch == m_epoch && isOutdated(record));
     if (isLost && m_isConfirmed) {
         restoreRecord(fmt::format("epoch {}", record.epoch));
@@ -287,6 +290,9 @@
     if (!m_isRestoringRecord) {
         m_leadProof.confirmed(m_writeSentAt);
     }
+    if (m_role == LeaseRole::Leader && m_record->epoch > m_epoch) {
+        raiseEpoch(m_record->epoch);
+    }
     if (m_role == LeaseRole::Candidate) {
         becomeLeader();
     } else if (m_record->leader.name.empty()) {
@@ -309,11 +315,14 @@
 
 void LeaseController::Private::runAsLeader()
 {
-    m_slices.expirePossibleHolders(m_now);
-    if (m_now >= m_formerGrantsEndAt) {
-        m_former.clear();
+    if (!needsHigherEpoch()) {
+        m_slices.expirePossibleHolders(m_now);
+        if (m_now >= m_formerGrantsEndAt) {
+            m_former.clear();
+        }
+        dropUnknownLeader();
+        useRaisedEpoch();
     }
-    dropUnknownLeader();
     if (!m_isConfirmed) {
         readRecord();
         return;
@@ -363,7 +372,7 @@
 {
     LeaseRecord record;
     record.service = m_settings.service;
-    record.epoch = m_epoch;
+    record.epoch = epochToRecord();
     record.era = m_storeEra;
     record.leader = isHandingOver() ? Identity() : m_settings.self;
     record.former = m_former;
@@ -387,7 +396,7 @@
     const bool hasChanged = !m_record || !(wanted == *m_record);
     // The end of a move may be recorded with the next periodic write; a new holder must be recorded before its grant.
     const bool isUrgent = hasChanged
-        && (wanted.leader.name.empty()
+        && (wanted.leader.name.empty() || wanted.epoch != m_epoch
             || std::any_of(wanted.ranges.begin(), wanted.ranges.end(), [&](const RecordedRange &it) {
                    const auto &next = it.next.name.empty() ? it.holder : it.next;
                    return !next.name.empty() && !isRecorded(it.range, next);
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -75,6 +75,15 @@
     void restoreRecord(const std::string &found);
     void dropUnknownLeader();
     void suspectUnknownLeader();
+    bool isUnknownLeaderGone() const;
+    /// Highest epoch that a leader of an earlier era can have used.
+    std::uint32_t lastEarlierEpoch() const;
+    /// Whether a leader that the store lost may have used the epoch of this one, or a higher one.
+    bool needsHigherEpoch() const;
+    /// Epoch of the next record: the present one, or one above those that the store lost.
+    std::uint32_t epochToRecord() const;
+    void raiseEpoch(std::uint32_t epoch);
+    void useRaisedEpoch();
     LeaseRecord distrusted(LeaseRecord record) const;
     void takeOver(const LeaseRecord &before);
     void becomeLeader();
@@ -197,6 +206,9 @@
     Instant m_allAliveSince{};
     /// Latest era in which this leader wrote its record again.
     std::uint64_t m_restoredEra = 0;
+    /// Epoch of new fencing tokens. It follows m_epoch once the grants of an unknown leader have ended: until then the
+    /// servers that have seen a token of that leader must refuse the ones of this daemon.
+    std::uint32_t m_tokenEpoch = 0;
     /// The write in flight restores a record that the store has lost.
     bool m_isRestoringRecord = false;
     /// Writes that got no answer and may still take effect, since the record has not been seen to change.
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -236,7 +236,7 @@
 
 void LeaseController::Private::takeToken(LeaseSlice &slice)
 {
-    slice.fencingToken = (std::uint64_t(m_epoch) << SequenceBits) | ++m_nextSequence;
+    slice.fencingToken = (std::uint64_t(m_tokenEpoch) << SequenceBits) | ++m_nextSequence;
     slice.connection = 0;
 }
 
--- a/src/leases/slices.cpp
+++ b/src/leases/slices.cpp
@@ -90,6 +90,12 @@
     }
 }
 
+bool LeaseSlices::isPossibleHolder(const Identity &server) const
+{
+    return std::any_of(m_possibleHolders.begin(), m_possibleHolders.end(),
+                       [&](const PossibleHolder &it) { return it.server == server; });
+}
+
 const PossibleHolder *LeaseSlices::otherPossibleHolder(const SliceRange &range, const Identity &server) const
 {
     const auto it =
--- a/src/leases/slices_p.h
+++ b/src/leases/slices_p.h
@@ -81,6 +81,7 @@
     void expirePossibleHolders(Instant now);
     /// Limits the latest end of all earlier grants to `limit`.
     void limitGrantEnds(Instant limit);
+    bool isPossibleHolder(const Identity &server) const;
     /// A server other than `server` that may still hold a part of `range`; null when there is none.
     const PossibleHolder *otherPossibleHolder(const SliceRange &range, const Identity &server) const;
 
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -117,11 +117,14 @@
         const bool mayBeLost = m_seenEpoch > 0 || m_storeEra > FirstEra;
         record = mayBeLost ? distrusted(record) : record;
     }
-    ++record.epoch;
-    record.era = m_storeEra;
     // The last leader announced that they have stopped. An unknown one may have come up since, after a restore.
     const bool hasUnknown =
         std::find(record.former.begin(), record.former.end(), UnknownProcess) != record.former.end();
+    if (hasUnknown) {
+        record.epoch = std::max(record.epoch, lastEarlierEpoch());
+    }
+    ++record.epoch;
+    record.era = m_storeEra;
     if (m_soleEpoch + 1 == record.epoch && !hasUnknown) {
         record.former.clear();
     }
@@ -149,7 +152,7 @@
     }
     // One that this daemon has not heard may have followed.
     record.former.push_back(UnknownProcess);
-    record.epoch = std::max({record.epoch, m_seenEpoch, static_cast<std::uint32_t>(m_storeEra << EpochBitsPerEra)});
+    record.epoch = std::max({record.epoch, m_seenEpoch, lastEarlierEpoch()});
     for (auto &it : record.ranges) {
         it.next = it.holder.name.empty() ? it.next : it.holder;
         it.holder = UnknownProcess;
@@ -189,6 +192,7 @@
     m_role = LeaseRole::Leader;
     m_isTableStale = true;
     m_epoch = m_record->epoch;
+    m_tokenEpoch = m_epoch;
     m_leaderName = m_settings.self.name;
     m_leadingSince = m_now;
     m_leadProof.reset();
@@ -274,14 +278,61 @@
 
 /// An unknown earlier leader is a member that this daemon does not hear. When it has heard all of them for a while,
 /// there is none.
-void LeaseController::Private::dropUnknownLeader()
+bool LeaseController::Private::isUnknownLeaderGone() const
 {
     const auto isQuiet = m_now - std::max(m_leadingSince, m_allAliveSince) >= UnknownLeaderSilence;
-    if (m_allAliveSince != Instant() && isQuiet) {
+    return m_allAliveSince != Instant() && isQuiet;
+}
+
+void LeaseController::Private::dropUnknownLeader()
+{
+    if (isUnknownLeaderGone()) {
         removeFormerLeaders([](const Identity &it) { return it == UnknownProcess; });
     }
 }
 
+std::uint32_t LeaseController::Private::lastEarlierEpoch() const
+{
+    return static_cast<std::uint32_t>(m_storeEra << EpochBitsPerEra);
+}
+
+bool LeaseController::Private::needsHigherEpoch() const
+{
+    return m_restoredEra != 0 && m_restoredEra == m_storeEra && m_epoch <= lastEarlierEpoch();
+}
+
+/// The epoch stays until the unknown leader is out of the question. With a higher one at once, that leader would give
+/// way to this daemon, which does not know the holders.
+std::uint32_t LeaseController::Private::epochToRecord() const
+{
+    const bool mayRaise = needsHigherEpoch() && (isUnknownLeaderGone() || m_now >= m_formerGrantsEndAt);
+    return mayRaise ? std::max(m_seenEpoch, lastEarlierEpoch()) + 1 : m_epoch;
+}
+
+void LeaseController::Private::raiseEpoch(std::uint32_t epoch)
+{
+    decide(LeaseEvents::RecordRestored, {}, fmt::format("epoch {} follows epoch {} of an earlier era", epoch, m_epoch));
+    m_epoch = epoch;
+    m_seenEpoch = std::max(m_seenEpoch, epoch);
+    m_nextAnnounceAt = m_now;
+    m_isTableStale = true;
+}
+
+/// Lets the next grants have tokens of the raised epoch. A server with a grant keeps its token: as it has been renewed
+/// all the time, the unknown leader has not given its keys to another server.
+void LeaseController::Private::useRaisedEpoch()
+{
+    if (m_tokenEpoch == m_epoch || m_slices.isPossibleHolder(UnknownProcess)) {
+        return;
+    }
+    m_tokenEpoch = m_epoch;
+    for (auto &it : m_slices.all()) {
+        if (!it.isGranted) {
+            dropToken(it);
+        }
+    }
+}
+
 bool LeaseController::Private::isHandingOver() const
 {
     const bool hasSuccessor =
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -792,6 +792,74 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+namespace
+{
+/// The leader is cut from everything; another daemon takes over unheard and moves the keys of s-1. Then that daemon
+/// ends, s-1 restarts, the store comes back from the copy before the takeover, and the cut ends. Returns the index of
+/// the earlier leader if it leads again.
+std::optional<std::size_t> loseUnheardLeader(LeaseSimulation &simulation, int phase)
+{
+    const auto former = *simulation.leader();
+    const auto unheard = (former + 1) % 3;
+    simulation.killDaemon((former + 2) % 3);
+    simulation.run(seconds(2));
+    simulation.setReaches(former, false);
+    const auto cutAt = simulation.now;
+    simulation.run(seconds(2));
+    if (simulation.leader() != unheard) {
+        return std::nullopt;
+    }
+    simulation.setLeaving(1);
+    simulation.run(seconds(1) + phase * milliseconds(50));
+    simulation.killDaemon(unheard);
+    simulation.restoreStore(simulation.now - cutAt);
+    simulation.servers[1].entry.leaving = false;
+    simulation.restartServer(1);
+    // The store is heard before the servers, which refuse the tokens of the earlier leader.
+    simulation.daemons[former].reachesStore = true;
+    simulation.run(seconds(1));
+    simulation.setReaches(former, true);
+    simulation.run(seconds(1));
+    return simulation.leader() == former ? std::optional(former) : std::nullopt;
+}
+}
+
+// A daemon led unheard in the time that the store lost, and the earlier leader goes on in the restored store. Guards
+// against keys that it grants under tokens below those of the daemon that led unheard (OWNER).
+TEST(LeasesTest, LeaderInARestoredStoreUsesHigherTokensThanALostOne)
+{
+    for (int phase = 0; phase < 20; ++phase) {
+        const auto simulation = stableSimulation();
+        const auto former = loseUnheardLeader(*simulation, phase);
+        ASSERT_TRUE(former) << phase;
+        simulation->startDaemon((*former + 1) % 3);
+        simulation->startDaemon((*former + 2) % 3);
+        simulation->run(UnknownLeaderLimit);
+        EXPECT_EQ(simulation->violation, "") << phase;
+        EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << phase;
+        EXPECT_EQ(simulation->leader(), former) << phase;
+    }
+}
+
+// As before, and the earlier leader ends soon after it has written its record again. Guards against a successor that
+// uses the epoch of the daemon that led unheard again (OWNER).
+TEST(LeasesTest, SuccessorInARestoredStoreUsesAHigherEpochThanALostLeader)
+{
+    for (int phase = 0; phase < 20; ++phase) {
+        const auto simulation = stableSimulation();
+        const auto former = loseUnheardLeader(*simulation, phase);
+        ASSERT_TRUE(former) << phase;
+        simulation->run(phase * milliseconds(200));
+        simulation->killDaemon(*former);
+        for (std::size_t n = 0; n < 3; ++n) {
+            simulation->startDaemon(n);
+        }
+        simulation->run(UnknownLeaderLimit);
+        EXPECT_EQ(simulation->violation, "") << phase;
+        EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << phase;
+    }
+}
+
 // All daemons start anew after the store has lost the record. Guards against epochs that an earlier leader has used.
 TEST(LeasesTest, NewFleetUsesHigherEpochsThanTheLostRecord)
 {
