Send each release over a connection of its own

A server that still runs requests on a range loses it to another server. Cause: servers may send an extra complete response at the point where the next one is expected. libcurl's kept connections are checked for unread bytes when a call is sent; an extra 200 that arrives after that and before the real reply was taken for the reply to the call. Responses to lease calls carry nothing that names the call. After the reply to a release the range is granted to another server, while the holder may still serve it.

Change: a release is sent over a new connection, which is closed after the reply. No response to an earlier call can be on it, and no later call reads what follows the reply. These connections are not counted in the numbers that tokens are bound to, since no grant goes over them: a release does not make the grants of other ranges need new tokens.

Cost: one connection for each release. A server that resets connections beyond its limit refuses a release that it would have read on a kept connection; the range then stays with its holder until the release is repeated or the grant expires.

Evidence: LeaseCallerTest.ReleaseIsNotAnsweredByTheConnectionOfEarlierCalls on the code before: the release's status is Accepted (byte 00) by a 200 on the connection of the earlier grant. NoCallFollowsOnTheConnectionOfARelease before: 1 connection, not 3. ExtraReplyInThePacketOfTheReplyIsNotTaken passed before: libcurl drops bytes that are read together with the end of a response.

Not covered: an extra 200 in the same moment is still taken for the reply to a grant.

--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -83,9 +83,14 @@
     request.headerLines.emplace_back("Expect:");
     request.body = pending->http.body.data();
     request.bodySize = static_cast<std::int64_t>(pending->http.body.size());
-    request.timeoutMs = call.command == LeaseCommand::Release ? ReleaseTimeoutMs : GrantTimeoutMs;
     request.connectTimeoutMs = ConnectTimeoutMs;
     request.discardsUnsent = true;
+    // The range goes to another server when a release is answered. An extra response to an earlier call can arrive on a
+    // kept connection, and responses do not name their call.
+    const bool isRelease = call.command == LeaseCommand::Release;
+    request.timeoutMs = isRelease ? ReleaseTimeoutMs : GrantTimeoutMs;
+    request.needsNewConnection = isRelease;
+    request.keepsConnection = !isRelease;
     AttemptHooks hooks;
     hooks.beforeSend = [this, pending](bool isNewConnection) {
         return mayGoOver(*pending, isNewConnection);
@@ -105,7 +110,8 @@
 }
 
 /// Connections are counted because a connection reaches the same process for as long as it lasts, while the address may
-/// be that of a later process. An unused connection that is closed again is not counted.
+/// be that of a later process. An unused connection that is closed again is not counted, nor is that of a release, over
+/// which no grant goes.
 bool LeaseCaller::mayGoOver(PendingCall &pending, bool isNewConnection)
 {
     auto &reply = pending.reply;
@@ -120,7 +126,7 @@
         reply.status = LeaseCallStatus::Reconnected;
         return false;
     }
-    connection += isNewConnection ? 1 : 0;
+    connection += isNewConnection && reply.call.command == LeaseCommand::Grant ? 1 : 0;
     reply.connection = connection;
     return true;
 }
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -65,12 +65,72 @@
     RawServer m_server;
 };
 
+/// Accepts all calls on its first connection, and refuses all calls on later ones.
+class FirstConnectionServer
+{
+public:
+    FirstConnectionServer()
+        : m_server([](int n, const std::string &) {
+            return n == 1 ? Accepted : "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+        })
+    {
+        m_server.setAfterAnswer([this](int fd) {
+            if (!m_isFirstAccepted) {
+                m_isFirstAccepted = true;
+                m_firstConnection = Thread("first-connection", [this, fd = dup(fd)] { acceptCalls(fd); });
+            }
+        });
+    }
+    ~FirstConnectionServer()
+    {
+        m_stop = true;
+    }
+    std::string address() const
+    {
+        return m_server.address();
+    }
+    int connections() const
+    {
+        return m_server.connections();
+    }
+
+private:
+    static constexpr char Accepted[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    void acceptCalls(int fd)
+    {
+        while (!m_stop) {
+            pollfd entry{fd, POLLIN, 0};
+            char buf[4096];
+            if (poll(&entry, 1, 20) <= 0) {
+                continue;
+            }
+            const auto n = read(fd, buf, sizeof buf);
+            if (n <= 0) {
+                break;
+            }
+            // The body, which ends each call, is `{}`.
+            if (buf[n - 1] == '}' && write(fd, Accepted, sizeof Accepted - 1) < 0) {
+                break;
+            }
+        }
+        close(fd);
+    }
+
+    std::atomic<bool> m_stop{false};
+    bool m_isFirstAccepted = false; ///< Used by the server's thread only.
+    Thread m_firstConnection;
+    RawServer m_server; ///< Last member: its thread uses the others.
+};
+
 class LeaseCallerTest : public testing::Test
 {
 protected:
-    LeaseReplyEvent call(const std::string &address, Instant sendBefore, std::uint64_t connection = 0)
+    LeaseReplyEvent call(const std::string &address, Instant sendBefore, std::uint64_t connection = 0,
+                         LeaseCommand command = LeaseCommand::Grant)
     {
         LeaseCall it;
+        it.command = command;
         it.connection = connection;
         it.address = address;
         it.sendBefore = sendBefore;
@@ -220,3 +280,37 @@
     EXPECT_EQ(call(server.address(), later(), first.connection).status, LeaseCallStatus::Reconnected);
     EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Unknown);
 }
+
+// Guards against an extra 200 on a kept connection that is taken for the reply to a release: the range goes to another
+// server while its holder still serves it (OWNER). Grants keep the connection that their token is bound to.
+TEST_F(LeaseCallerTest, ReleaseIsNotAnsweredByTheConnectionOfEarlierCalls)
+{
+    FirstConnectionServer server;
+    const auto grant = call(server.address(), later());
+    ASSERT_EQ(grant.status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(call(server.address(), later(), 0, LeaseCommand::Release).status, LeaseCallStatus::Refused);
+    EXPECT_EQ(call(server.address(), later(), grant.connection).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against an extra 200 after the reply to a release that is taken for the reply to a later call.
+TEST_F(LeaseCallerTest, NoCallFollowsOnTheConnectionOfARelease)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; });
+    for (const auto it : {LeaseCommand::Release, LeaseCommand::Release, LeaseCommand::Grant}) {
+        EXPECT_EQ(call(server.address(), later(), 0, it).status, LeaseCallStatus::Accepted);
+    }
+    EXPECT_EQ(server.connections(), 3);
+}
+
+// Guards against an extra 200 in the same packet as a reply that is taken for the reply to the next call.
+TEST_F(LeaseCallerTest, ExtraReplyInThePacketOfTheReplyIsNotTaken)
+{
+    const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([&](int n, const std::string &) {
+        return n == 1 ? accepted + accepted : "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    });
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Refused);
+    EXPECT_EQ(server.requests(), 2);
+}
