Show that reports of a follower cut with its leader are no evidence

OWNER: two servers hold the same keys in turn, the second under a lower fencing token. A leader and a follower are cut together from the store, the servers and the third daemon, which takes the lead, moves a range from s-1 to s-0 and sees s-1 restart. At the end of the cut the former leader reaches s-1 100 ms before the store. The load reports of the follower have come all the time, so LeadProof counts them although the follower has not heard the successor either.

The simulation can divide the daemons into sides.

--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -529,7 +529,8 @@
     }
     const PeerEvent event{daemons[index].identity, action.type, action.payload};
     for (std::size_t n = 0; n < daemons.size(); ++n) {
-        if (daemons[n].identity.name == action.vm && daemons[n].reachesPeers) {
+        const bool isOnSide = daemons[n].peerSide == daemons[index].peerSide;
+        if (daemons[n].identity.name == action.vm && daemons[n].reachesPeers && isOnSide) {
             schedule(NetworkDelay, [this, n, event] { deliver(n, event); });
         }
     }
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -89,6 +89,8 @@
         bool isSuspended = false;
         bool reachesStore = true;
         bool reachesPeers = true;
+        /// Daemons reach only those of the same side.
+        int peerSide = 0;
         /// False while the VM is partitioned from all servers.
         bool reachesServers = true;
         /// Servers from which alone it is partitioned.
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -129,6 +129,40 @@
     }
 }
 
+// A leader and a follower are cut together from everything else, and their successor moves keys away from a server,
+// which restarts. Guards against load reports of a follower that has not heard the successor as evidence (OWNER). In
+// every other phase the follower reaches the store.
+TEST(LeasesTest, LeaderCutWithAFollowerGrantsNothingToALaterProcess)
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        const auto simulation = stableSimulation();
+        const auto former = *simulation->leader();
+        const std::size_t follower = former == 2 ? 1 : 2;
+        const auto setSide = [&](int side, bool reachesStore) {
+            for (const auto n : {former, follower}) {
+                simulation->daemons[n].reachesStore = reachesStore || (n == follower && phase % 2 == 1);
+                simulation->daemons[n].peerSide = side;
+            }
+        };
+        setSide(1, false);
+        simulation->daemons[former].reachesServers = false;
+        simulation->daemons[follower].reachesServers = false;
+        simulation->run(seconds(2));
+        ASSERT_NE(*simulation->leader(), former);
+        simulation->setLeaving(1);
+        simulation->run(seconds(1));
+        simulation->restartServerUnseen(1);
+        simulation->run(milliseconds(200 + 10 * phase));
+        // The store and the other daemons are heard a moment later than the servers.
+        simulation->daemons[former].reachesServers = true;
+        simulation->daemons[follower].reachesServers = true;
+        simulation->run(milliseconds(100));
+        setSide(0, true);
+        simulation->run(seconds(3));
+        EXPECT_EQ(simulation->violation, "") << "phase " << phase;
+    }
+}
+
 // The store is away, so that a restarted server has no new entry. Guards against a leader that waits for the store
 // before it grants the new process its keys, although other daemons follow it.
 TEST(LeasesTest, RestartedServerGetsItsKeysAgainDuringAStoreOutage)
