Count load reports as evidence only while servers accept renewals

Two small faults beside it, by reading: a read of the record was taken for a confirmation also when a restored store had lost the record; ranges were joined, which drops their accepted tokens, without evidence for the new one.

--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -129,15 +129,12 @@
 void LeaseController::Private::onRecord(const ObjectEvent &event)
 {
     const auto &object = event.object;
-    const auto readSentAt = std::exchange(m_readSentAt, Instant());
+    m_answeredReadSentAt = std::exchange(m_readSentAt, Instant());
     const bool isOlder = std::tie(object.era, object.version) < std::tie(m_recordEra, m_recordVersion);
     if (!(object.key == recordKey(m_settings.service)) || isOlder) {
         return;
     }
     adopt(object);
-    if (m_role == LeaseRole::Leader && m_isConfirmed) {
-        m_leadProof.confirmed(readSentAt);
-    }
 }
 
 void LeaseController::Private::adopt(const StoredObject &object)
@@ -189,6 +186,7 @@
         loseLeadership(fmt::format("the record names {} under epoch {}", toString(record.leader), record.epoch));
     } else {
         m_isConfirmed = true;
+        m_leadProof.confirmed(m_answeredReadSentAt);
     }
 }
 
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -170,6 +170,8 @@
     Instant m_nextReadAt{};
     /// When the read was sent whose response is awaited; zero for none.
     Instant m_readSentAt{};
+    /// When the read was sent whose response came last.
+    Instant m_answeredReadSentAt{};
     /// Time at which the last successful write was sent.
     Instant m_confirmedAt{};
     /// False after a pause, until the stored record shows that this daemon is still the leader.
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -341,6 +341,7 @@
             decide(LeaseEvents::Granted, slice.range,
                    fmt::format("{} with fencing token {}", slice.holder.name, event.call.fencingToken));
         }
+        m_leadProof.accepted(event.endedAt);
         slice.isGranted = true;
         slice.grantedUntil = event.sentAt + m_settings.grantDuration;
         slice.connection = event.connection;
@@ -412,7 +413,8 @@
 
 void LeaseController::Private::joinQuietSlices()
 {
-    if (m_now < m_nextJoinAt || m_openWrite != 0) {
+    // The joined range needs a new token.
+    if (m_now < m_nextJoinAt || m_openWrite != 0 || m_now >= m_leadProof.validUntil()) {
         return;
     }
     m_nextJoinAt = m_now + JoinInterval;
--- a/src/leases/tests/leadprooftest.cpp
+++ b/src/leases/tests/leadprooftest.cpp
@@ -32,6 +32,7 @@
     LeadProof proof{LeaseSettings()};
     auto now = start;
     for (int n = 0; n < 20; ++n, now += ReportInterval) {
+        proof.accepted(now);
         proof.reported(now);
         EXPECT_EQ(isValid(proof, now), n >= 2) << n;
     }
@@ -45,9 +46,11 @@
     const LeaseSettings settings;
     LeadProof proof(settings);
     for (auto now = start; now < start + seconds(2); now += ReportInterval) {
+        proof.accepted(now);
         proof.reported(now);
     }
     const auto healed = start + seconds(6);
+    proof.accepted(healed);
     for (int n = 0; n < 10; ++n) {
         proof.reported(healed + milliseconds(n));
         EXPECT_FALSE(isValid(proof, healed + milliseconds(n)));
@@ -55,3 +58,13 @@
     proof.reported(healed + 2 * settings.announceEvery);
     EXPECT_TRUE(isValid(proof, healed + 2 * settings.announceEvery));
 }
+
+// Guards against the reports of daemons that are cut off from the servers and from a new leader together with this one.
+TEST(LeadProofTest, ReportsAreNoEvidenceWhileNoServerAcceptsGrants)
+{
+    LeadProof proof{LeaseSettings()};
+    for (auto now = start; now < start + seconds(4); now += ReportInterval) {
+        proof.reported(now);
+        EXPECT_FALSE(isValid(proof, now));
+    }
+}
