Let no VM with an older configuration decide a relayed request

Change: the relay header carries the version of the sender's configuration; a VM with an older one refuses (not run), and the request goes on to another. The header is read before any refusal. Requests go only to VMs that state the new feature relay-versions, since earlier builds decide by what they have. Test: three tests of RelayingTest fail on the old routedrequests.cpp (404, 404, 502) and pass now.

--- a/include/galenarock/peerfeatures.h
+++ b/include/galenarock/peerfeatures.h
@@ -23,6 +23,9 @@
     /// Sends lease calls that name their server, over the connection that is bound to the fencing token, and discards
     /// the bytes of calls that are given up.
     BoundLeaseCalls = 1U << 1,
+    /// Does not take a relayed request whose sender uses a newer configuration, and states the outcome in each refusal
+    /// of a relayed request.
+    RelayVersions = 1U << 2,
 };
 
 /// What a daemon states of its build.
--- a/include/galenarock/relays.h
+++ b/include/galenarock/relays.h
@@ -77,14 +77,17 @@
     std::uint32_t attempts = 1;
     /// Hash of the caller's address.
     std::uint64_t caller = 0;
+    /// Version of the configuration that the sender uses. A daemon with an older one does not take the request. 0 when
+    /// a build before `PeerFeature::RelayVersions` relays.
+    std::uint64_t configuration = 0;
 
     friend bool operator==(const RelayedRequest &a, const RelayedRequest &b)
     {
-        return a.attempts == b.attempts && a.caller == b.caller;
+        return a.attempts == b.attempts && a.caller == b.caller && a.configuration == b.configuration;
     }
 };
 
-/// `<attempts> <caller>`, both decimal.
+/// `<attempts> <caller> <configuration>`, all decimal; the last one is left out when it is 0.
 std::string toString(const RelayedRequest &relayed);
 /// Empty for malformed text or no attempts.
 std::optional<RelayedRequest> parseRelayedRequest(std::string_view text);
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -399,9 +399,10 @@
 /// Called when a member or its build has changed.
 void GatewayControlPlane::publishFeatures()
 {
-    const auto relays = m_features.membersWith(PeerFeature::Relays);
+    // A build without this feature would decide a relayed request by its own configuration, also by an older one.
+    const auto relays = m_features.membersWith(PeerFeature::RelayVersions);
     m_hooks.relaysChanged(relays);
-    const bool isFleetWide = m_features.isFleetWide(PeerFeature::Relays);
+    const bool isFleetWide = m_features.isFleetWide(PeerFeature::RelayVersions);
     if (isFleetWide != m_areRelaysFleetWide) {
         m_areRelaysFleetWide = isFleetWide;
         logEvent(Events::FeatureUseChanged, "{} of {} known daemons take relayed requests", relays.size(),
--- a/src/membership/peerfeatures.cpp
+++ b/src/membership/peerfeatures.cpp
@@ -24,9 +24,10 @@
     PeerFeature feature;
     const char *name;
 };
-constexpr std::array<FeatureName, 2> FeatureNames{{
+constexpr std::array<FeatureName, 3> FeatureNames{{
     {PeerFeature::Relays, "relays"},
     {PeerFeature::BoundLeaseCalls, "bound-lease-calls"},
+    {PeerFeature::RelayVersions, "relay-versions"},
 }};
 
 struct WireStatement
--- a/src/proxy/relaying.cpp
+++ b/src/proxy/relaying.cpp
@@ -9,8 +9,9 @@
 
 /// Requests that go through another VM because this one does not reach the servers, and such requests of other VMs.
 ///
-/// A relayed request is an ordinary request to the other VM's callers' listener with RelayHeader. That VM chooses the
-/// server, within the deadline and the attempts that are left, and never relays it again.
+/// A relayed request is an ordinary request to the other VM's callers' listener with RelayHeader. That VM looks up the
+/// route, unless its configuration is older than the sender's, and chooses the server within the deadline and the
+/// attempts that are left. It never relays the request again.
 namespace Galenarock
 {
 
@@ -104,7 +105,8 @@
 void RequestHandler::addRelayHeaders(const PendingRequest &request, std::vector<std::string> &lines) const
 {
     const auto attempts = request.rule->maxAttempts - request.sentAttempts;
-    const auto text = toString(RelayedRequest{attempts, request.caller});
+    const auto version = request.routes->configuration().version;
+    const auto text = toString(RelayedRequest{attempts, request.caller, version});
     lines.push_back(fmt::format("{}: {}", RelayHeader, text));
     lines.push_back(fmt::format("{}: {}", PeerAuthHeader, peerAuth(m_shared.peerKey(), authText(request, text))));
 }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -75,16 +75,22 @@
 
 Refusal RequestHandler::classifyRouted(PendingRequest &request, const Exchange &exchange)
 {
+    const auto info = m_shared.dialect()->readRequest([&](const char *name) { return exchange.header(name); });
+    request.requestId = info.id;
+    request.path = exchange.target();
+    readRelay(request, exchange);
     const auto snapshot = m_shared.snapshot();
     if (!snapshot || !snapshot->routes()) {
         return {Reason::NoConfiguration, Outcome::NotRun, {}, 1'000};
     }
+    if (snapshot->routes()->configuration().version < request.relayed.configuration) {
+        return {Reason::NoConfiguration, Outcome::NotRun, "the relaying VM has a newer configuration", 0};
+    }
     request.routes = snapshot->routes();
     request.rule = request.routes->find(exchange.header("Host"), exchange.target());
     if (!request.rule) {
         return {Reason::UnknownService, Outcome::NotRun, "no route matches host and path", 0};
     }
-    const auto info = m_shared.dialect()->readRequest([&](const char *name) { return exchange.header(name); });
     const auto &service = RouteTable::pick(*request.rule, m_random());
     request.traffic = traffic(service, snapshot);
     if (!request.traffic) {
@@ -94,12 +100,9 @@
     if (!info.defect.empty()) {
         return {Reason::MalformedRequest, Outcome::NotRun, info.defect, 0};
     }
-    request.requestId = info.id;
-    request.path = exchange.target();
     request.idempotent = request.rule->repeatability == Repeatability::Idempotent;
     const auto limitMs = std::min(info.deadlineMs.value_or(request.rule->timeoutMs), request.rule->timeoutMs);
     request.deadline = request.arrivedAt + milliseconds(limitMs);
-    readRelay(request, exchange);
     if (request.traffic->route->document().distribution == Distribution::Keyed) {
         if (!info.position) {
             return {Reason::MissingKey, Outcome::NotRun, "the service needs a key", 0};
--- a/src/proxy/tests/relayingtest.cpp
+++ b/src/proxy/tests/relayingtest.cpp
@@ -22,12 +22,28 @@
         ASSERT_TRUE(vm.serverReach().isCutOff());
     }
 
-    void setRelay(const std::string &address)
+    static Member relayVm(const std::string &name, const std::string &address, const std::string &failureDomain)
     {
         Member member;
-        member.identity = {"vm-2", 12};
+        member.identity = {name, 12};
         member.address = address;
-        shared.relays().setMembers({"vm-1", 11}, "rioja", {member});
+        member.failureDomain = failureDomain;
+        return member;
+    }
+
+    void setRelay(const std::string &address)
+    {
+        shared.relays().setMembers({"vm-1", 11}, "rioja", {relayVm("vm-2", address, "rioja")});
+    }
+
+    /// The other VM has an older configuration, in which the route of the test's requests does not exist yet.
+    void startOtherWithAnOlderConfiguration(const std::string &server)
+    {
+        configurationVersion = 4;
+        routePrefix = "/before/";
+        startOther(server);
+        configurationVersion = 6;
+        routePrefix = "/a/";
     }
 
     /// Starts the other VM's worker, which sends requests to `server`.
@@ -188,3 +204,68 @@
     const auto answer = answerToRequest(1);
     EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
 }
+
+// Guards against a 404 for a route that this VM knows: the other VM, which the store turned away for a while, looked
+// the request up in its older configuration (CONFIG, swanprism-gw-grown, trouble-1, seed 1). Nor may its service count.
+TEST_F(RelayingTest, VmWithAnOlderConfigurationDoesNotDecide)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    startOtherWithAnOlderConfiguration(server.address());
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"not-run\""), std::string::npos) << answer;
+    EXPECT_EQ(relayed(otherMetrics, "received"), 1U);
+    EXPECT_EQ(server.requests(), 0);
+}
+
+// As before; the request goes on to a VM that has the configuration.
+TEST_F(RelayingTest, RequestGoesOnToAVmWithTheSameConfiguration)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    RawServer upToDate([](int, const std::string &) { return SmallAnswer; });
+    startOtherWithAnOlderConfiguration(server.address());
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    shared.relays().setMembers(
+        {"vm-1", 11}, "rioja",
+        {relayVm("vm-2", otherWorker->address(), "rioja"), relayVm("vm-3", upToDate.address(), "aragon")});
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+    EXPECT_EQ(upToDate.requests(), 1);
+    EXPECT_EQ(server.requests(), 0);
+}
+
+// Guards against a refusal of the other VM that passes for the answer of a server, with its internal headers.
+TEST_F(RelayingTest, RouteThatANewerConfigurationDroppedIsUnknown)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    configurationVersion = 7;
+    routePrefix = "/after/";
+    startOther(server.address());
+    configurationVersion = 6;
+    routePrefix = "/a/";
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 404"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("Galenarock-"), std::string::npos) << answer;
+}
+
+// Guards against 502 for a request that has not run, because the other VM has no configuration yet.
+TEST_F(RelayingTest, VmWithoutAConfigurationRefusesTruthfully)
+{
+    otherWorker = std::make_unique<Worker>(otherShared);
+    ASSERT_TRUE(otherWorker->listen({"127.0.0.1:0"}));
+    setRoutes({deadAddress()}, Distribution::Balanced);
+    listen();
+    setRelay(otherWorker->address());
+    loseServers(shared);
+    const auto answer = answerToRequest(1);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"not-run\""), std::string::npos) << answer;
+}
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -122,12 +122,13 @@
         RouteConfiguration configuration;
         RouteRule rule;
         rule.host = "shop.example";
-        rule.prefix = "/a/";
+        rule.prefix = routePrefix;
         rule.destinations = {{"shop", 1}};
         rule.repeatability = repeatability;
         rule.timeoutMs = routeTimeoutMs;
         rule.maxAttempts = 3;
         configuration.routes = {rule};
+        configuration.version = configurationVersion;
         RoutingInput input;
         ServiceDocument document;
         document.service = "shop";
@@ -211,6 +212,9 @@
     Repeatability repeatability = Repeatability::Idempotent;
     std::int64_t routeTimeoutMs = 10'000;
     std::uint32_t epoch = 0;
+    /// For the next makeSnapshot().
+    std::uint64_t configurationVersion = 1;
+    std::string routePrefix = "/a/";
     Metrics metrics;
     ProxyShared shared{metrics, {"vm-1", 11}, PeerKey{}};
     Worker worker{shared};
--- a/src/requests/relays.cpp
+++ b/src/requests/relays.cpp
@@ -58,7 +58,8 @@
 
 std::string toString(const RelayedRequest &relayed)
 {
-    return fmt::format("{} {}", relayed.attempts, relayed.caller);
+    const auto text = fmt::format("{} {}", relayed.attempts, relayed.caller);
+    return relayed.configuration == 0 ? text : fmt::format("{} {}", text, relayed.configuration);
 }
 
 std::optional<RelayedRequest> parseRelayedRequest(std::string_view text)
@@ -70,7 +71,15 @@
         return {};
     }
     const auto caller = std::from_chars(attempts.ptr + 1, end, relayed.caller);
-    return caller.ec == std::errc() && caller.ptr == end ? std::optional(relayed) : std::nullopt;
+    if (caller.ec != std::errc()) {
+        return {};
+    }
+    if (caller.ptr == end) {
+        return relayed;
+    }
+    const auto configuration = std::from_chars(caller.ptr + 1, end, relayed.configuration);
+    const bool isComplete = configuration.ec == std::errc() && configuration.ptr == end;
+    return *caller.ptr == ' ' && isComplete && relayed.configuration > 0 ? std::optional(relayed) : std::nullopt;
 }
 
 }
--- a/src/requests/tests/relaystest.cpp
+++ b/src/requests/tests/relaystest.cpp
@@ -54,7 +54,10 @@
 {
     const RelayedRequest relayed{2, 0xfedcba9876543210U};
     EXPECT_EQ(parseRelayedRequest(toString(relayed)), relayed);
-    for (const auto *it : {"", "2", "2 ", "0 5", "-1 5", "2 x", "2 5 ", "99999999999 5"}) {
+    const RelayedRequest versioned{2, 5, 7};
+    EXPECT_EQ(parseRelayedRequest(toString(versioned)), versioned);
+    for (const auto *it : {"", "2", "2 ", "0 5", "-1 5", "2 x", "2 5 ", "99999999999 5", "2 5 0", "2 5 x", "2 5 7 ",
+                           "2 5,7", "2 5 7 9"}) {
         EXPECT_FALSE(parseRelayedRequest(it)) << it;
     }
 }
