--- a/include/galenarock/routing.h
+++ b/include/galenarock/routing.h
@@ -66,10 +66,27 @@
     }
 };
 
-/// One service: its document, its servers and, for keyed services, the owners of its slices.
+/// What the route of one service is built from.
+struct ServiceInput
+{
+    const ServiceDocument &document;
+    /// Backend servers; those of other services are ignored.
+    const std::vector<VmEntry> &servers;
+    /// Null without one.
+    const Assignment *assignment = nullptr;
+    /// Names of servers that have announced their own drain.
+    std::vector<std::string> draining = {};
+};
+
+/// One service: its document, its servers and, for keyed services, the owners of its slices. Immutable.
 class ServiceRoute
 {
 public:
+    /// RoutedServer::drainingSince is carried over from `previous`, which is null for the first route. A list of
+    /// servers that equals the previous one is shared with it.
+    static std::shared_ptr<const ServiceRoute> build(const ServiceInput &input, Instant now,
+                                                     const ServiceRoute *previous);
+
     const ServiceDocument &document() const
     {
         return m_document;
@@ -77,7 +94,12 @@
     /// Keyed: in the order of Assignment::servers. Balanced: the servers of the VM list, sorted by identity.
     const std::vector<RoutedServer> &servers() const
     {
-        return m_servers;
+        return *m_servers;
+    }
+    /// Whether servers() is the list of `other`, without comparing the servers.
+    bool sharesServers(const ServiceRoute &other) const
+    {
+        return m_servers == other.m_servers;
     }
     /// Epoch of the assignment; 0 without one.
     std::uint32_t epoch() const
@@ -96,7 +118,6 @@
     ServerIndex serverNamed(std::string_view name) const;
 
 private:
-    friend class RoutingSnapshot;
     struct SliceOwner
     {
         std::uint64_t sequence;
@@ -106,7 +127,7 @@
     const SliceOwner *sliceOwner(KeyHash hash) const;
 
     ServiceDocument m_document;
-    std::vector<RoutedServer> m_servers;
+    std::shared_ptr<const std::vector<RoutedServer>> m_servers;
     std::uint32_t m_epoch = 0;
     /// First key position of each slice, sorted. Kept apart from the owners so that the search reads few cache lines.
     std::vector<KeyHash> m_sliceStarts;
@@ -134,11 +155,14 @@
     /// RoutedServer::drainingSince is carried over from `previous`, which is null for the first snapshot.
     static std::shared_ptr<const RoutingSnapshot> build(const RoutingInput &input, Instant now,
                                                         const RoutingSnapshot *previous = nullptr);
+    /// A snapshot of routes that were built before, which it shares with other snapshots.
+    RoutingSnapshot(std::vector<std::shared_ptr<const ServiceRoute>> services, std::shared_ptr<const RouteTable> routes,
+                    std::uint32_t listedDaemons = 1);
 
     /// Null when the service has no document.
     const ServiceRoute *find(std::string_view service) const;
     /// Sorted by service name.
-    const std::vector<ServiceRoute> &services() const
+    const std::vector<std::shared_ptr<const ServiceRoute>> &services() const
     {
         return m_services;
     }
@@ -153,7 +177,7 @@
     }
 
 private:
-    std::vector<ServiceRoute> m_services;
+    std::vector<std::shared_ptr<const ServiceRoute>> m_services;
     std::uint32_t m_listedDaemons = 1;
     std::shared_ptr<const RouteTable> m_routes;
 };
--- a/include/galenarock/serverchoice.h
+++ b/include/galenarock/serverchoice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -207,6 +208,7 @@
         ShedThrottle throttle;
     };
     std::uint32_t entryFor(Instant now, const Identity &identity);
+    void releaseIfUnused(std::uint32_t index);
     void answered(Instant now, Entry &entry, Duration latency);
     void updateAdaptiveLimit(Entry &entry, double latencySeconds);
     void addPenalty(Instant now, Entry &entry, double requests);
@@ -222,6 +224,10 @@
     DaemonShare m_share;
     std::string m_localDomain;
     std::vector<Entry> m_entries;
+    /// Position in m_entries of each listed server, and of each other one with attempts in flight.
+    std::map<Identity, std::uint32_t> m_entryOfIdentity;
+    /// Free positions of m_entries.
+    std::vector<std::uint32_t> m_unusedEntries;
     /// Position in m_entries of each ServerIndex.
     std::vector<std::uint32_t> m_entryOfServer;
     std::vector<ServerView> m_views;
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -205,15 +205,15 @@
         return;
     }
     for (const auto &route : m_snapshot->services()) {
-        if (route.document().distribution == Distribution::Keyed) {
+        if (route->document().distribution == Distribution::Keyed) {
             continue;
         }
-        for (const auto &it : route.servers()) {
+        for (const auto &it : route->servers()) {
             if (it.address.empty()) {
                 continue;
             }
             GrantRequest poll;
-            poll.service = route.document().service;
+            poll.service = route->document().service;
             poll.sender = m_settings.self;
             m_hooks.callServer({it.identity.name, it.address, poll});
         }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -373,7 +373,7 @@
         return {200, "text/plain; version=0.0.4", metrics.prometheusText()};
     }
     if (request.path == "/status") {
-        return {200, "application/json", controlPlane->status()->dump(2) + "\n"};
+        return {200, "application/json", controlPlane->status().dump(2) + "\n"};
     }
     return {404, "application/json", "{\"error\":\"unknown path\"}\n"};
 }
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -1,6 +1,7 @@
 #include "plane_p.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -69,7 +70,8 @@
     , m_hooks(std::move(hooks))
     , m_membership(membershipSettings(m_settings, {}))
     , m_features(m_settings.self, ownBuild())
-    , m_status(std::make_shared<const nlohmann::json>(nlohmann::json::object()))
+    , m_serviceRoutes(m_settings.retryPercent)
+    , m_status(std::make_shared<const GatewayStatus>())
 {
 }
 
@@ -79,6 +81,10 @@
         tick(now);
     } else if (const auto *object = std::get_if<ObjectEvent>(&event)) {
         onObject(now, object->object);
+        const auto &kind = object->object.key.kind;
+        if (kind == m_dialect.serverKind || kind == ObjectKind::Daemon) {
+            return; // endBatch() passes them on
+        }
     } else if (const auto *missing = std::get_if<ObjectMissingEvent>(&event)) {
         onMissing(now, missing->key);
     } else if (const auto *written = std::get_if<WriteResultEvent>(&event)) {
@@ -89,7 +95,7 @@
     } else if (const auto *synced = std::get_if<KindSyncedEvent>(&event)) {
         if (synced->kind == m_dialect.serverKind && !m_areServersKnown) {
             m_areServersKnown = true;
-            serversChanged(now);
+            serversChanged();
         }
         return;
     } else if (const auto *peer = std::get_if<PeerEvent>(&event)) {
@@ -99,7 +105,7 @@
         }
         if (peer->type == FeatureMessage::Statement) {
             carryOut(now, m_features.receive(*peer));
-            publishFeatures();
+            m_areFeaturesOutdated = true;
             return;
         }
     } else if (std::holds_alternative<StopEvent>(event)) {
@@ -112,7 +118,7 @@
 void GatewayControlPlane::tick(Instant now)
 {
     if (m_servers.update(now, m_hooks.isStoreReachable())) {
-        serversChanged(now);
+        serversChanged();
     }
     joinFleet(now);
     carryOut(now, m_features.tick(now));
@@ -130,7 +136,7 @@
     } else if (object.key.kind == m_dialect.serverKind) {
         adoptServer(now, object);
     } else if (object.key.kind == ObjectKind::Daemon) {
-        adoptDaemon(now, object);
+        adoptDaemon(object);
     } else if (object.key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
         adoptPeerKey(object);
     }
@@ -149,7 +155,7 @@
     if (m_servers.remove(now, key.name)) {
         logEvent(Events::ServerGone, "{} is not registered any more", key.name);
         m_hooks.bootSeen(key.name, boot + 1);
-        serversChanged(now);
+        serversChanged();
     }
 }
 
@@ -198,13 +204,15 @@
         return;
     }
     const auto version = parsed.configuration.version;
-    if (m_routes && version <= m_routes->configuration().version) {
+    const auto &active = m_serviceRoutes.configuration();
+    if (active && version <= active->configuration().version) {
         return; // a version that is not newer never replaces the active one
     }
-    m_routes = std::make_shared<const RouteTable>(std::move(parsed.configuration));
+    const auto routes = std::make_shared<const RouteTable>(std::move(parsed.configuration));
+    m_serviceRoutes.setConfiguration(routes);
     m_isSnapshotOutdated = true;
     logEvent(Events::ConfigurationAdopted, "version {}, {} routes, {} services", version,
-             m_routes->configuration().routes.size(), m_routes->configuration().services.size());
+             routes->configuration().routes.size(), routes->configuration().services.size());
     refreshLeases(now);
 }
 
@@ -223,20 +231,32 @@
     logEvent(Events::ServerSeen, "{} of {} at {} in {}, {} slots{}", toString(entry.identity), entry.service,
              entry.address, entry.failureDomain, entry.slots, entry.isDraining ? ", draining" : "");
     m_hooks.bootSeen(entry.identity.name, entry.identity.boot);
-    serversChanged(now);
+    serversChanged();
 }
 
-void GatewayControlPlane::serversChanged(Instant now)
+void GatewayControlPlane::serversChanged()
 {
     m_isSnapshotOutdated = true;
+    m_haveServersChanged = true;
+}
+
+/// Passes the lists of servers that have changed to the lease controllers.
+void GatewayControlPlane::updateLeaseServers(Instant now)
+{
+    if (!std::exchange(m_haveServersChanged, false)) {
+        return;
+    }
     for (auto &[service, controller] : m_leases) {
-        carryOut(now, controller.setServers(now, m_servers.leaseServers(service)));
+        const auto revision = m_servers.revision(service);
+        if (std::exchange(m_leaseServerRevisions[service], revision) != revision) {
+            carryOut(now, controller.setServers(now, m_servers.leaseServers(service)));
+        }
     }
 }
 
 void GatewayControlPlane::refreshLeases(Instant now)
 {
-    for (const auto &it : m_routes->configuration().services) {
+    for (const auto &it : m_serviceRoutes.configuration()->configuration().services) {
         if (!it.isKeyed || m_leases.count(it.name) > 0) {
             continue;
         }
@@ -251,6 +271,7 @@
         auto &controller = m_leases.emplace(it.name, LeaseController(settings)).first->second;
         carryOut(now, controller.step(now, MembersEvent{m_members}));
         carryOut(now, controller.step(now, StoreEraEvent{m_storeEra}));
+        m_leaseServerRevisions[it.name] = m_servers.revision(it.name);
         carryOut(now, controller.setServers(now, m_servers.leaseServers(it.name)));
     }
 }
@@ -312,7 +333,7 @@
     m_membership = MembershipCore(membershipSettings(m_settings, m_peerAddress));
 }
 
-void GatewayControlPlane::adoptDaemon(Instant now, const StoredObject &object)
+void GatewayControlPlane::adoptDaemon(const StoredObject &object)
 {
     VmEntry entry;
     entry.name = object.key.name;
@@ -339,7 +360,7 @@
         vms.push_back(entry);
     }
     ++m_daemons.revision;
-    stepMembership(now, VmListEvent{m_daemons});
+    m_haveDaemonsChanged = true;
 }
 
 void GatewayControlPlane::stepMembership(Instant now, const ControlEvent &event)
@@ -354,6 +375,7 @@
     if (!m_areServersKnown) {
         return;
     }
+    updateLeaseServers(now);
     bool isHandedOver = true;
     for (auto &[service, it] : m_leases) {
         carryOut(now, it.step(now, event));
@@ -380,14 +402,12 @@
         } else if (const auto *send = std::get_if<SendPeerAction>(&action)) {
             m_hooks.sendPeer(*send);
         } else if (const auto *table = std::get_if<PublishAssignmentAction>(&action)) {
-            m_serviceAssignments[table->assignment.service] = table->assignment;
+            m_serviceRoutes.setTable(table->assignment);
             m_isSnapshotOutdated = true;
         } else if (const auto *members = std::get_if<PublishMembersAction>(&action)) {
             m_members = members->members;
             m_hooks.membersChanged(m_members);
-            m_features.setMembers(m_members);
-            publishFeatures();
-            stepLeases(now, MembersEvent{m_members});
+            m_haveMembersChanged = true;
         } else if (const auto *decision = std::get_if<DecisionAction>(&action)) {
             logEvent(decision->event, "{} {}-{}: {}", decision->service, toHex(decision->range.first),
                      toHex(decision->range.last), decision->text);
@@ -396,9 +416,28 @@
     }
 }
 
+/// Acts on what the events of the batch have changed, once for all of them: at the start of a large fleet each daemon
+/// hears of hundreds of daemons and servers within a second.
+void GatewayControlPlane::applyChanges(Instant now)
+{
+    if (std::exchange(m_haveDaemonsChanged, false)) {
+        stepMembership(now, VmListEvent{m_daemons});
+    }
+    if (std::exchange(m_haveMembersChanged, false)) {
+        m_features.setMembers(m_members);
+        m_areFeaturesOutdated = true;
+        stepLeases(now, MembersEvent{m_members});
+    }
+    if (std::exchange(m_areFeaturesOutdated, false)) {
+        publishFeatures();
+    }
+    updateLeaseServers(now);
+}
+
 /// Called when a member or its build has changed.
 void GatewayControlPlane::publishFeatures()
 {
+    m_builds.reset();
     // A build without this feature would decide a relayed request by its own configuration, also by an older one.
     const auto relays = m_features.membersWith(PeerFeature::RelayVersions);
     m_hooks.relaysChanged(relays);
@@ -428,45 +467,13 @@
     }
 }
 
-std::vector<ServiceDocument> GatewayControlPlane::documents() const
-{
-    std::vector<ServiceDocument> list;
-    const auto servers = m_servers.servers();
-    for (const auto &it : m_routes->configuration().services) {
-        ServiceDocument document;
-        document.service = it.name;
-        document.distribution = it.isKeyed ? Distribution::Keyed : Distribution::Balanced;
-        document.pool.connections = it.maxConnections;
-        document.pool.slots = 1;
-        for (const auto &server : servers) {
-            if (server.service == it.name) {
-                document.pool.slots = std::max(document.pool.slots, server.slots);
-            }
-        }
-        document.retry.budgetPercent = m_settings.retryPercent;
-        list.push_back(std::move(document));
-    }
-    return list;
-}
-
-void GatewayControlPlane::publishSnapshot(Instant now)
-{
-    RoutingInput input;
-    input.documents = documents();
-    input.vms.vms = m_servers.vmEntries(now);
-    for (const auto &[service, table] : m_serviceAssignments) {
-        input.assignments.push_back(table);
-    }
-    input.routes = m_routes;
-    m_snapshot = RoutingSnapshot::build(input, now, m_snapshot.get());
-    m_hooks.snapshotChanged(m_snapshot);
-}
-
 void GatewayControlPlane::endBatch(Instant now)
 {
-    if (m_isSnapshotOutdated && m_routes) {
+    applyChanges(now);
+    if (m_isSnapshotOutdated && m_serviceRoutes.configuration()) {
         m_isSnapshotOutdated = false;
-        publishSnapshot(now);
+        m_snapshot = m_serviceRoutes.build(now, m_servers);
+        m_hooks.snapshotChanged(m_snapshot);
     }
     bool isReady = m_snapshot && m_areServersKnown && m_servers.size() > 0 && !m_isStopping;
     for (const auto &[service, it] : m_leases) {
@@ -478,7 +485,7 @@
     }
     if (now >= m_nextStatusAt) {
         m_nextStatusAt = now + StatusInterval;
-        publishStatus(now);
+        publishStatus();
     }
 }
 
@@ -494,7 +501,7 @@
     return list;
 }
 
-void GatewayControlPlane::publishStatus(Instant)
+void GatewayControlPlane::publishStatus()
 {
     auto leases = nlohmann::json::object();
     for (const auto &[service, it] : m_leases) {
@@ -504,14 +511,25 @@
                            {"ranges", it.table().slices.size()},
                            {"unserved", it.unservedRanges()}};
     }
-    nlohmann::json status{{"self", toString(m_settings.self)},
-                          {"ready", isReady()},
-                          {"configurationVersion", m_routes ? m_routes->configuration().version : 0},
-                          {"servers", m_servers.size()},
-                          {"daemons", m_members.size()},
-                          {"leases", std::move(leases)},
-                          {"builds", builds()}};
-    std::atomic_store(&m_status, std::make_shared<const nlohmann::json>(std::move(status)));
+    const auto &routes = m_serviceRoutes.configuration();
+    nlohmann::json summary{{"self", toString(m_settings.self)},
+                           {"ready", isReady()},
+                           {"configurationVersion", routes ? routes->configuration().version : 0},
+                           {"servers", m_servers.size()},
+                           {"daemons", m_members.size()},
+                           {"leases", std::move(leases)}};
+    if (!m_builds) {
+        m_builds = std::make_shared<const nlohmann::json>(builds());
+    }
+    std::atomic_store(&m_status, std::make_shared<const GatewayStatus>(GatewayStatus{std::move(summary), m_builds}));
+}
+
+nlohmann::json GatewayControlPlane::status() const
+{
+    const auto status = std::atomic_load(&m_status);
+    auto json = status->summary;
+    json["builds"] = status->builds ? *status->builds : nlohmann::json::object();
+    return json;
 }
 
 }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -13,6 +13,7 @@
 
 #include "daemon/decisionlog_p.h"
 #include "serverdirectory_p.h"
+#include "serviceroutes_p.h"
 
 namespace Galenarock
 {
@@ -43,6 +44,14 @@
     std::function<std::string(const std::string &hexKey)> openPeers;
 };
 
+/// What the admin interface shows of the control plane.
+struct GatewayStatus
+{
+    nlohmann::json summary = nlohmann::json::object();
+    /// Version and features of each member. Kept apart, since it is large and rarely changes.
+    std::shared_ptr<const nlohmann::json> builds;
+};
+
 struct GatewayControlPlaneSettings
 {
     Identity self;
@@ -78,10 +87,7 @@
         return m_isHandedOver.load(std::memory_order_acquire);
     }
     /// Thread-safe. JSON of the last published status.
-    std::shared_ptr<const nlohmann::json> status() const
-    {
-        return std::atomic_load(&m_status);
-    }
+    nlohmann::json status() const;
     const DecisionLog &decisions() const
     {
         return m_decisions;
@@ -95,12 +101,14 @@
     void onStoreEra(Instant now, std::uint64_t era);
     void adoptConfiguration(Instant now, const StoredObject &object);
     void adoptServer(Instant now, const StoredObject &object);
-    void adoptDaemon(Instant now, const StoredObject &object);
+    void adoptDaemon(const StoredObject &object);
     void onPeerKeyStored(const StoredObject &object);
     void adoptPeerKey(const StoredObject &object);
     void joinFleet(Instant now);
     void writeDaemonEntry(std::uint64_t version);
-    void serversChanged(Instant now);
+    void serversChanged();
+    void updateLeaseServers(Instant now);
+    void applyChanges(Instant now);
     void sendLoadReports(Instant now);
     void publishFeatures();
     void stepMembership(Instant now, const ControlEvent &event);
@@ -108,9 +116,7 @@
     void carryOut(Instant now, LeaseActions actions);
     void carryOut(Instant now, ControlActions actions);
     void refreshLeases(Instant now);
-    void publishSnapshot(Instant now);
-    void publishStatus(Instant now);
-    std::vector<ServiceDocument> documents() const;
+    void publishStatus();
     nlohmann::json builds() const;
 
     GatewayControlPlaneSettings m_settings;
@@ -121,13 +127,16 @@
     PeerFeatures m_features;
     bool m_areRelaysFleetWide = false;
     VmList m_daemons;
-    std::shared_ptr<const RouteTable> m_routes;
     ServerDirectory m_servers;
+    ServiceRoutes m_serviceRoutes;
     std::map<std::string, LeaseController> m_leases;
-    std::map<std::string, Assignment> m_serviceAssignments;
+    /// ServerDirectory::revision() of the servers that each lease controller knows.
+    std::map<std::string, std::uint64_t> m_leaseServerRevisions;
     DecisionLog m_decisions;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
-    std::shared_ptr<const nlohmann::json> m_status;
+    /// builds() as of the last change of a member or its build; null when outdated.
+    std::shared_ptr<const nlohmann::json> m_builds;
+    std::shared_ptr<const GatewayStatus> m_status;
 
     /// Era of the store; 0 while unknown.
     std::uint64_t m_storeEra = 0;
@@ -140,6 +149,11 @@
     bool m_areServersKnown = false;
     bool m_isStopping = false;
     bool m_isSnapshotOutdated = false;
+    // What events of the present batch have changed.
+    bool m_haveServersChanged = false;
+    bool m_haveDaemonsChanged = false;
+    bool m_haveMembersChanged = false;
+    bool m_areFeaturesOutdated = false;
     Instant m_nextJoinAt{};
     Instant m_nextLoadAt{};
     Instant m_nextStatusAt{};
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -58,7 +58,7 @@
         return false;
     }
     if (isNew) {
-        ++m_counts[entry.service].total;
+        m_services[entry.service].servers[name] = &server;
     }
     setFound(server, name);
     // An older copy of the entry must not take back that the server is draining.
@@ -68,11 +68,7 @@
         return false;
     }
     const bool isSameProcess = server.entry.identity == entry.identity;
-    if (!isNew && server.entry.service != entry.service) {
-        --m_counts[server.entry.service].total;
-        ++m_counts[entry.service].total;
-    }
-    server.entry = entry;
+    enter(server, entry);
     if (!entry.isDraining || !isSameProcess) {
         server.drainingSince.reset();
         m_inHandover.erase(name);
@@ -84,10 +80,24 @@
     return true;
 }
 
+/// Replaces the entry of a tracked server, which may be of another service than before.
+void ServerDirectory::enter(TrackedServer &server, const ServerEntry &entry)
+{
+    if (server.entry.service != entry.service) {
+        auto &before = m_services[server.entry.service];
+        before.servers.erase(entry.identity.name);
+        ++before.revision;
+    }
+    auto &service = m_services[entry.service];
+    service.servers[entry.identity.name] = &server;
+    ++service.revision;
+    server.entry = entry;
+}
+
 void ServerDirectory::setMissing(TrackedServer &server, const std::string &name, Instant removeAt)
 {
     if (!server.removeAt) {
-        ++m_counts[server.entry.service].missing;
+        ++m_services[server.entry.service].missing;
         m_missing.insert(name);
     }
     server.removeAt = removeAt;
@@ -99,7 +109,7 @@
         return;
     }
     server.removeAt.reset();
-    --m_counts[server.entry.service].missing;
+    --m_services[server.entry.service].missing;
     m_missing.erase(name);
 }
 
@@ -109,7 +119,9 @@
     const auto name = server->first;
     setFound(server->second, name);
     m_inHandover.erase(name);
-    --m_counts[server->second.entry.service].total;
+    auto &service = m_services[server->second.entry.service];
+    service.servers.erase(name);
+    ++service.revision;
     m_removed[name] = {server->second.entry.identity, now, {}};
     m_removals.push_back({now, name});
     m_servers.erase(server);
@@ -146,7 +158,11 @@
     bool hasAnyEnded = false;
     for (auto it = m_inHandover.begin(); it != m_inHandover.end();) {
         ++m_visitedEntries;
-        const bool hasEnded = now - *m_servers.at(*it).drainingSince >= drainHandoverPeriod;
+        const auto &server = m_servers.at(*it);
+        const bool hasEnded = now - *server.drainingSince >= drainHandoverPeriod;
+        if (hasEnded) {
+            ++m_services[server.entry.service].revision;
+        }
         it = hasEnded ? m_inHandover.erase(it) : std::next(it);
         hasAnyEnded = hasAnyEnded || hasEnded;
     }
@@ -190,37 +206,42 @@
 /// An outage of the store expires the entries of most servers, so if only a few are missing, these have left.
 bool ServerDirectory::hasFewMissing(const std::string &service) const
 {
-    const auto &count = m_counts.at(service);
-    return count.missing * FewMissingDivisor <= count.total;
+    const auto &it = m_services.at(service);
+    return it.missing * FewMissingDivisor <= it.servers.size();
 }
 
-std::vector<ServerEntry> ServerDirectory::servers() const
+std::uint64_t ServerDirectory::revision(const std::string &service) const
 {
-    std::vector<ServerEntry> list;
-    for (const auto &[name, it] : m_servers) {
-        list.push_back(it.entry);
-    }
-    return list;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.revision;
 }
 
 std::vector<LeaseServer> ServerDirectory::leaseServers(const std::string &service) const
 {
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return {};
+    }
     std::vector<LeaseServer> list;
-    for (const auto &[name, it] : m_servers) {
-        const auto &entry = it.entry;
-        if (entry.service == service) {
-            list.push_back({entry.identity, entry.address, entry.failureDomain, entry.slots, entry.isDraining});
-        }
+    list.reserve(found->second.servers.size());
+    for (const auto &[name, it] : found->second.servers) {
+        const auto &entry = it->entry;
+        list.push_back({entry.identity, entry.address, entry.failureDomain, entry.slots, entry.isDraining});
     }
     return list;
 }
 
-std::vector<VmEntry> ServerDirectory::vmEntries(Instant now) const
+std::vector<VmEntry> ServerDirectory::vmEntries(const std::string &service, Instant now) const
 {
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return {};
+    }
     std::vector<VmEntry> list;
-    for (const auto &[name, it] : m_servers) {
-        const auto &entry = it.entry;
-        const bool isPastHandover = it.drainingSince && now - *it.drainingSince >= drainHandoverPeriod;
+    list.reserve(found->second.servers.size());
+    for (const auto &[name, it] : found->second.servers) {
+        const auto &entry = it->entry;
+        const bool isPastHandover = it->drainingSince && now - *it->drainingSince >= drainHandoverPeriod;
         const auto address = isPastHandover ? std::string() : entry.address;
         const auto state = entry.isDraining ? VmState::Leaving : VmState::Live;
         list.push_back({name,
--- a/src/gateway/serverdirectory_p.h
+++ b/src/gateway/serverdirectory_p.h
@@ -36,11 +36,12 @@
     /// Call on each tick. Returns true when servers were removed or the handover time of a draining server ended.
     bool update(Instant now, bool isStoreReachable);
 
-    std::vector<ServerEntry> servers() const;
+    /// Grows with each change of the service's servers that the two lists below show.
+    std::uint64_t revision(const std::string &service) const;
     std::vector<LeaseServer> leaseServers(const std::string &service) const;
     /// A server that has been draining for `drainHandoverPeriod` is listed without an address, also if an assignment
     /// still contains it: a server that leaves an assignment and returns to it would otherwise count as newly leaving.
-    std::vector<VmEntry> vmEntries(Instant now) const;
+    std::vector<VmEntry> vmEntries(const std::string &service, Instant now) const;
     const ServerEntry *find(const std::string &name) const;
     std::size_t size() const
     {
@@ -60,6 +61,7 @@
     bool hadLeftBeforeRestore(const ServerEntry &entry);
     void setMissing(TrackedServer &server, const std::string &name, Instant removeAt);
     void setFound(TrackedServer &server, const std::string &name);
+    void enter(TrackedServer &server, const ServerEntry &entry);
     void drop(Instant now, Servers::iterator server);
     bool endHandovers(Instant now);
     bool removeMissing(Instant now, bool isStoreReachable);
@@ -74,13 +76,14 @@
         std::optional<Instant> drainingSince;
     };
     Servers m_servers;
-    /// Servers of one service.
-    struct ServiceCount
+    struct ServiceServers
     {
-        std::size_t total = 0;
+        std::map<std::string, const TrackedServer *> servers;
         std::size_t missing = 0;
+        std::uint64_t revision = 0;
     };
-    std::map<std::string, ServiceCount> m_counts;
+    /// Kept when the last server of a service has left, so that its revision never falls.
+    std::map<std::string, ServiceServers> m_services;
     /// Names of the servers with a deferred removal.
     std::set<std::string> m_missing;
     /// Names of the draining servers whose handover time has not ended.
--- a/src/gateway/tests/serverdirectorytest.cpp
+++ b/src/gateway/tests/serverdirectorytest.cpp
@@ -35,13 +35,13 @@
 {
     auto directory = directoryOf(3);
     directory.put(at(0), entry("s-1", 5, true));
-    EXPECT_EQ(directory.vmEntries(at(1'000))[1].address, "10.0.0.1:80");
-    EXPECT_EQ(directory.vmEntries(at(1'000))[1].state, VmState::Leaving);
+    EXPECT_EQ(directory.vmEntries("shop", at(1'000))[1].address, "10.0.0.1:80");
+    EXPECT_EQ(directory.vmEntries("shop", at(1'000))[1].state, VmState::Leaving);
     const auto end = duration_cast<milliseconds>(drainHandoverPeriod).count();
     EXPECT_TRUE(directory.update(at(static_cast<int>(end)), true));
-    EXPECT_EQ(directory.vmEntries(at(2'300))[1].address, "");
+    EXPECT_EQ(directory.vmEntries("shop", at(2'300))[1].address, "");
     directory.put(at(2'400), entry("s-1", 6));
-    EXPECT_EQ(directory.vmEntries(at(2'400))[1].address, "10.0.0.1:80");
+    EXPECT_EQ(directory.vmEntries("shop", at(2'400))[1].address, "10.0.0.1:80");
 }
 
 // Guards against a late heartbeat of an earlier process that replaces the entry of the running one.
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -129,9 +129,11 @@
 void LeaseController::Private::onRecord(const ObjectEvent &event)
 {
     const auto &object = event.object;
+    if (!(object.key == recordKey(m_settings.service))) {
+        return;
+    }
     m_answeredReadSentAt = std::exchange(m_readSentAt, Instant());
-    const bool isOlder = std::tie(object.era, object.version) < std::tie(m_recordEra, m_recordVersion);
-    if (!(object.key == recordKey(m_settings.service)) || isOlder) {
+    if (std::tie(object.era, object.version) < std::tie(m_recordEra, m_recordVersion)) {
         return;
     }
     adopt(object);
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -1,6 +1,7 @@
 #include "servicetraffic_p.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -65,9 +66,14 @@
     if (route && !newRoute) {
         return; // the document was removed; queued requests still use the previous snapshot
     }
-    snapshot = newest;
+    const bool isSameRoute = route == newRoute && snapshot;
+    const bool hasSameServers = isSameRoute || (m_hasServers && route && newRoute->sharesServers(*route));
+    const bool hasSameWorkers = std::exchange(m_liveWorkers, liveWorkers) == liveWorkers;
+    const auto kept = std::exchange(snapshot, newest); // keeps the previous route until the end of this function
     route = newRoute;
-    m_liveWorkers = liveWorkers;
+    if (isSameRoute && hasSameWorkers) {
+        return;
+    }
     const auto &document = route->document();
     admission.configure(now, document, liveWorkers);
     if (m_retryAllowance > 0) {
@@ -75,7 +81,12 @@
     } else {
         budget.setPercent(document.retry.budgetPercent);
     }
-    observations.setServers(now, route->servers(), daemonShare(document.pool, liveWorkers));
+    const auto share = daemonShare(document.pool, liveWorkers);
+    if (hasSameServers && share == observations.share()) {
+        return;
+    }
+    m_hasServers = true;
+    observations.setServers(now, route->servers(), share);
 }
 
 Owner ServiceTraffic::choose(Instant now, const PendingRequest &request, SharedServerLimits *limits)
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -77,7 +77,9 @@
     bool leaveOutByRate(Instant now, const PendingRequest &request, SharedServerLimits &limits,
                         std::vector<ServerView> &views) const;
 
-    std::uint32_t m_liveWorkers = 1;
+    std::uint32_t m_liveWorkers = 0;
+    /// The observations have a list of servers.
+    bool m_hasServers = false;
     ServerChoicePolicy m_policy;
     /// Retry limits of the whole deployment; the allowance is divided among the live workers, 0 means none.
     double m_retryPercent = 0;
--- a/src/routing/observations.cpp
+++ b/src/routing/observations.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace Galenarock
 {
@@ -73,45 +74,54 @@
 
 std::uint32_t ServerObservations::entryFor(Instant now, const Identity &identity)
 {
-    std::size_t unused = m_entries.size();
-    for (std::size_t n = 0; n < m_entries.size(); ++n) {
-        const auto &it = m_entries[n];
-        if (it.identity == identity) {
-            return static_cast<std::uint32_t>(n);
-        }
-        if (it.identity.name.empty()) {
-            unused = n;
-        }
+    const auto [it, isNew] = m_entryOfIdentity.try_emplace(identity, 0);
+    if (!isNew) {
+        return it->second;
     }
-    if (unused == m_entries.size()) {
+    if (m_unusedEntries.empty()) {
+        m_unusedEntries.push_back(static_cast<std::uint32_t>(m_entries.size()));
         m_entries.emplace_back();
     }
-    m_entries[unused] = Entry();
-    m_entries[unused].identity = identity;
-    m_entries[unused].slowStartAt = now;
-    m_entries[unused].adaptiveLimit = m_share.slots;
-    return static_cast<std::uint32_t>(unused);
+    it->second = m_unusedEntries.back();
+    m_unusedEntries.pop_back();
+    auto &entry = m_entries[it->second];
+    entry.identity = identity;
+    entry.slowStartAt = now;
+    entry.adaptiveLimit = m_share.slots;
+    return it->second;
+}
+
+/// Frees the entry of a server that is not listed any more, once none of its attempts is in flight.
+void ServerObservations::releaseIfUnused(std::uint32_t index)
+{
+    auto &entry = m_entries[index];
+    if (entry.index != noServer || entry.inFlight > 0) {
+        return;
+    }
+    m_entryOfIdentity.erase(entry.identity);
+    entry = Entry();
+    m_unusedEntries.push_back(index);
 }
 
 void ServerObservations::setServers(Instant now, const std::vector<RoutedServer> &servers, DaemonShare share)
 {
     m_share = share;
-    m_entryOfServer.clear();
-    for (auto &it : m_entries) {
-        it.index = noServer;
+    const auto before = std::exchange(m_entryOfServer, {});
+    for (const auto it : before) {
+        m_entries[it].index = noServer;
     }
+    m_entryOfServer.reserve(servers.size());
     for (std::size_t n = 0; n < servers.size(); ++n) {
-        const auto entry = entryFor(now, servers[n].identity);
-        m_entries[entry].index = static_cast<ServerIndex>(n);
-        m_entries[entry].acceptsWork = servers[n].acceptsWork();
-        m_entries[entry].slots = servers[n].slots;
-        m_entries[entry].isLocal = m_localDomain.empty() || servers[n].failureDomain == m_localDomain;
-        m_entryOfServer.push_back(entry);
+        const auto index = entryFor(now, servers[n].identity);
+        auto &entry = m_entries[index];
+        entry.index = static_cast<ServerIndex>(n);
+        entry.acceptsWork = servers[n].acceptsWork();
+        entry.slots = servers[n].slots;
+        entry.isLocal = m_localDomain.empty() || servers[n].failureDomain == m_localDomain;
+        m_entryOfServer.push_back(index);
     }
-    for (auto &it : m_entries) {
-        if (it.index == noServer && it.inFlight == 0) {
-            it = Entry();
-        }
+    for (const auto it : before) {
+        releaseIfUnused(it);
     }
 }
 
@@ -255,9 +265,7 @@
     auto &entry = m_entries.at(handle);
     --entry.inFlight;
     if (entry.index == noServer) {
-        if (entry.inFlight == 0) {
-            entry = Entry();
-        }
+        releaseIfUnused(handle);
         return;
     }
     updateThrottle(now, entry, observation);
--- a/src/routing/snapshot.cpp
+++ b/src/routing/snapshot.cpp
@@ -1,22 +1,13 @@
 #include <galenarock/routing.h>
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace Galenarock
 {
 
 namespace
 {
-const VmEntry *findVm(const VmList &list, const std::string &service, const std::string &name)
-{
-    for (const auto &it : list.vms) {
-        if (it.role == VmRole::Backend && it.name == name && it.service == service) {
-            return &it;
-        }
-    }
-    return nullptr;
-}
-
 const Assignment *newestAssignment(const std::vector<Assignment> &assignments, const std::string &service)
 {
     const Assignment *newest = nullptr;
@@ -51,7 +42,7 @@
     return now;
 }
 
-RoutedServer makeServer(const RoutingInput &input, const Identity &identity, const VmEntry *vm,
+RoutedServer makeServer(const ServiceInput &input, const Identity &identity, const VmEntry *vm,
                         const ServiceRoute *previous, Instant now)
 {
     RoutedServer server;
@@ -70,26 +61,35 @@
     return server;
 }
 
-std::vector<RoutedServer> keyedServers(const RoutingInput &input, const Assignment &assignment,
-                                       const ServiceRoute *previous, Instant now)
+bool isServerOf(const ServiceInput &input, const VmEntry &vm)
 {
+    return vm.role == VmRole::Backend && vm.service == input.document.service;
+}
+
+std::vector<RoutedServer> keyedServers(const ServiceInput &input, const ServiceRoute *previous, Instant now)
+{
+    std::unordered_map<std::string_view, const VmEntry *> vms;
+    for (const auto &it : input.servers) {
+        if (isServerOf(input, it)) {
+            vms.emplace(it.name, &it);
+        }
+    }
     std::vector<RoutedServer> servers;
-    servers.reserve(assignment.servers.size());
-    for (const auto &it : assignment.servers) {
-        servers.push_back(makeServer(input, it, findVm(input.vms, assignment.service, it.name), previous, now));
+    servers.reserve(input.assignment->servers.size());
+    for (const auto &it : input.assignment->servers) {
+        const auto vm = vms.find(it.name);
+        servers.push_back(makeServer(input, it, vm == vms.end() ? nullptr : vm->second, previous, now));
     }
     return servers;
 }
 
-std::vector<RoutedServer> balancedServers(const RoutingInput &input, const std::string &service,
-                                          const ServiceRoute *previous, Instant now)
+std::vector<RoutedServer> balancedServers(const ServiceInput &input, const ServiceRoute *previous, Instant now)
 {
     std::vector<RoutedServer> servers;
-    for (const auto &it : input.vms.vms) {
-        if (it.role != VmRole::Backend || it.service != service) {
-            continue;
+    for (const auto &it : input.servers) {
+        if (isServerOf(input, it)) {
+            servers.push_back(makeServer(input, Identity{it.name, it.boot}, &it, previous, now));
         }
-        servers.push_back(makeServer(input, Identity{it.name, it.boot}, &it, previous, now));
     }
     std::sort(servers.begin(), servers.end(),
               [](const RoutedServer &a, const RoutedServer &b) { return a.identity < b.identity; });
@@ -136,7 +136,7 @@
     if (slice->server == noServer) {
         return {noServer, token, Reason::OwnerUnavailable};
     }
-    const auto &server = m_servers[slice->server];
+    const auto &server = servers()[slice->server];
     const bool isHandoverOver = server.isDraining && now - server.drainingSince >= drainHandoverPeriod;
     if (server.address.empty() || isHandoverOver) {
         return {noServer, token, Reason::OwnerUnavailable};
@@ -146,51 +146,69 @@
 
 ServerIndex ServiceRoute::serverNamed(std::string_view name) const
 {
-    for (std::size_t n = 0; n < m_servers.size(); ++n) {
-        if (m_servers[n].identity.name == name) {
+    for (std::size_t n = 0; n < servers().size(); ++n) {
+        if (servers()[n].identity.name == name) {
             return static_cast<ServerIndex>(n);
         }
     }
     return noServer;
 }
 
+std::shared_ptr<const ServiceRoute> ServiceRoute::build(const ServiceInput &input, Instant now,
+                                                        const ServiceRoute *previous)
+{
+    auto route = std::make_shared<ServiceRoute>();
+    route->m_document = input.document;
+    const auto *assignment = input.assignment;
+    std::vector<RoutedServer> servers;
+    if (input.document.distribution == Distribution::Balanced) {
+        servers = balancedServers(input, previous, now);
+    } else if (assignment && assignment->validate().empty() && !assignment->slices.empty()) {
+        servers = keyedServers(input, previous, now);
+        route->m_epoch = assignment->epoch;
+        route->m_sliceStarts.reserve(assignment->slices.size());
+        route->m_owners.reserve(assignment->slices.size());
+        for (const auto &it : assignment->slices) {
+            route->m_sliceStarts.push_back(it.range.first);
+            route->m_owners.push_back({it.sequence, it.owner});
+        }
+    }
+    const bool isUnchanged = previous && servers == previous->servers();
+    route->m_servers =
+        isUnchanged ? previous->m_servers : std::make_shared<const std::vector<RoutedServer>>(std::move(servers));
+    return route;
+}
+
+RoutingSnapshot::RoutingSnapshot(std::vector<std::shared_ptr<const ServiceRoute>> services,
+                                 std::shared_ptr<const RouteTable> routes, std::uint32_t listedDaemons)
+    : m_services(std::move(services))
+    , m_listedDaemons(listedDaemons)
+    , m_routes(std::move(routes))
+{
+    std::sort(m_services.begin(), m_services.end(),
+              [](const auto &a, const auto &b) { return a->document().service < b->document().service; });
+}
+
 std::shared_ptr<const RoutingSnapshot> RoutingSnapshot::build(const RoutingInput &input, Instant now,
                                                               const RoutingSnapshot *previous)
 {
-    auto snapshot = std::make_shared<RoutingSnapshot>();
-    snapshot->m_listedDaemons = countDaemons(input.vms);
-    snapshot->m_routes = input.routes;
-    for (const auto &document : input.documents) {
-        ServiceRoute route;
-        route.m_document = document;
-        const auto *previousRoute = previous ? previous->find(document.service) : nullptr;
-        const auto *assignment = newestAssignment(input.assignments, document.service);
-        if (document.distribution == Distribution::Balanced) {
-            route.m_servers = balancedServers(input, document.service, previousRoute, now);
-        } else if (assignment && assignment->validate().empty() && !assignment->slices.empty()) {
-            route.m_servers = keyedServers(input, *assignment, previousRoute, now);
-            route.m_epoch = assignment->epoch;
-            for (const auto &it : assignment->slices) {
-                route.m_sliceStarts.push_back(it.range.first);
-                route.m_owners.push_back({it.sequence, it.owner});
-            }
-        }
-        snapshot->m_services.push_back(std::move(route));
+    std::vector<std::shared_ptr<const ServiceRoute>> services;
+    for (const auto &it : input.documents) {
+        const ServiceInput service{it, input.vms.vms, newestAssignment(input.assignments, it.service), input.draining};
+        services.push_back(ServiceRoute::build(service, now, previous ? previous->find(it.service) : nullptr));
     }
-    std::sort(snapshot->m_services.begin(), snapshot->m_services.end(),
-              [](const ServiceRoute &a, const ServiceRoute &b) { return a.m_document.service < b.m_document.service; });
-    return snapshot;
+    return std::make_shared<const RoutingSnapshot>(std::move(services), input.routes, countDaemons(input.vms));
 }
 
 const ServiceRoute *RoutingSnapshot::find(std::string_view service) const
 {
     const auto it =
         std::lower_bound(m_services.begin(), m_services.end(), service,
-                         [](const ServiceRoute &a, std::string_view name) { return a.m_document.service < name; });
-    if (it == m_services.end() || it->m_document.service != service) {
+                         [](const auto &route, std::string_view name) { return route->document().service < name; });
+    if (it == m_services.end() || (*it)->document().service != service) {
         return nullptr;
     }
-    return &*it;
+    return it->get();
 }
 
 }
