Read pipelined requests ahead and answer them in their order

Change: the caller side is the project's own. RequestParser reads requests with Boost.Beast's basic_parser (strict: no second length, no length beside chunks, no bare line feeds, no folded fields, one Host); CallerPipeline, which needs no network, starts idempotent requests side by side and puts the responses in order, within bounds for requests, held bytes and heads; any other request runs alone; CallerListener owns the sockets. A response that closes the connection ends what is behind it, none of which may have run unless it is idempotent. A stopping daemon closes with the last response of each connection. Closed connections linger, so that unread bytes do not reset the last response. libmicrohttpd stays for the admin listeners. Callers that leave are seen by epoll; the poll of all connections each 100 ms is gone.

--- /dev/null
+++ b/src/proxy/callerlistener.cpp
@@ -0,0 +1,343 @@
+#include "callerlistener_p.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+namespace Galenarock
+{
+
+namespace
+{
+constexpr std::size_t ReceiveBytes = 32'768;
+/// Connections that are accepted before other work is done.
+constexpr int MaxAcceptsPerRun = 64;
+constexpr Duration StopIdleTimeout = seconds(1);
+/// After the last response the caller's bytes are read and discarded for this time, since closing a socket with unread
+/// bytes resets the connection and the caller may lose the response.
+constexpr Duration LingerTime = seconds(1);
+constexpr Duration TimeoutCheckInterval = milliseconds(250);
+}
+
+/// A caller's connection.
+class CallerListener::Connection
+{
+public:
+    Connection(int socket, const PipelineLimits &limits, PipelineHooks hooks, const std::string &callerAddress)
+        : fd(socket)
+        , pipeline(limits, std::move(hooks), callerAddress)
+    {
+    }
+
+    int fd;
+    CallerPipeline pipeline;
+    /// Last time at which bytes were received or sent.
+    Instant activeAt{};
+    /// EPOLLIN and EPOLLOUT as far as they are watched.
+    std::uint32_t watched = 0;
+    /// The responses have been sent and the connection is half closed.
+    bool isLingering = false;
+    /// In m_changed.
+    bool isChanged = false;
+};
+
+CallerListener::CallerListener(int epollFd, std::uint64_t tag, CallerListenerHooks hooks)
+    : m_epollFd(epollFd)
+    , m_tag(tag)
+    , m_hooks(std::move(hooks))
+    , m_buffer(ReceiveBytes)
+{
+}
+
+CallerListener::~CallerListener()
+{
+    quiesce();
+    while (!m_connections.empty()) {
+        const auto connection = m_connections.begin()->second;
+        close(*connection);
+    }
+}
+
+Result<void> CallerListener::listen(const ListenerSettings &settings)
+{
+    m_settings = settings;
+    const auto colon = settings.address.rfind(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    const auto ip = settings.address.substr(0, colon);
+    const int port = colon == std::string::npos ? -1 : std::atoi(settings.address.c_str() + colon + 1);
+    if (port < 0 || port > 65535 || inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
+        return fail(ErrorCode::OutOfRange, fmt::format("'{}' is not ip:port", settings.address));
+    }
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    m_listenFd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listenFd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (settings.sharedPort) {
+        setsockopt(m_listenFd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    }
+    const bool isBound = bind(m_listenFd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0
+        && ::listen(m_listenFd, settings.backlog) == 0;
+    if (!isBound) {
+        const std::string text = strerror(errno);
+        quiesce();
+        return fail(ErrorCode::SystemCall, fmt::format("cannot listen on {}: {}", settings.address, text));
+    }
+    socklen_t n = sizeof address;
+    getsockname(m_listenFd, reinterpret_cast<sockaddr *>(&address), &n);
+    m_address = fmt::format("{}:{}", ip, ntohs(address.sin_port));
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = m_tag | static_cast<std::uint32_t>(m_listenFd);
+    epoll_ctl(m_epollFd, EPOLL_CTL_ADD, m_listenFd, &event);
+    return {};
+}
+
+/// Whether to be told of connections that wait to be accepted.
+void CallerListener::watchListener(bool isWatched)
+{
+    if (m_listenFd < 0 || m_isListenerWatched == isWatched) {
+        return;
+    }
+    m_isListenerWatched = isWatched;
+    epoll_event event{};
+    event.events = isWatched ? EPOLLIN : 0U;
+    event.data.u64 = m_tag | static_cast<std::uint32_t>(m_listenFd);
+    epoll_ctl(m_epollFd, EPOLL_CTL_MOD, m_listenFd, &event);
+}
+
+void CallerListener::quiesce()
+{
+    if (m_listenFd >= 0) {
+        ::close(m_listenFd);
+    }
+    m_listenFd = -1;
+}
+
+void CallerListener::closeIdle()
+{
+    m_isClosingIdle = true;
+    m_nextTimeoutCheck = {};
+}
+
+Duration CallerListener::idleTimeout() const
+{
+    const Duration timeout = seconds(m_settings.idleSeconds);
+    return m_isClosingIdle ? std::min(timeout, StopIdleTimeout) : timeout;
+}
+
+void CallerListener::handleSocket(Instant now, int fd, std::uint32_t events)
+{
+    if (fd == m_listenFd) {
+        m_isAcceptDue = true;
+        return;
+    }
+    const auto found = m_connections.find(fd);
+    if (found == m_connections.end()) {
+        return;
+    }
+    const auto connection = found->second;
+    // A caller that closes its end does not wait for responses.
+    const bool hasLeft =
+        (events & (EPOLLHUP | EPOLLERR)) != 0 || ((events & EPOLLRDHUP) != 0 && !connection->isLingering);
+    if (hasLeft) {
+        close(*connection);
+        return;
+    }
+    if ((events & EPOLLIN) != 0) {
+        receive(now, *connection);
+    }
+    if (connection->fd >= 0) {
+        update(now, connection);
+    }
+}
+
+void CallerListener::receive(Instant now, Connection &connection)
+{
+    const auto n = recv(connection.fd, m_buffer.data(), m_buffer.size(), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n <= 0) {
+        close(connection);
+        return;
+    }
+    if (connection.isLingering) {
+        return;
+    }
+    connection.activeAt = now;
+    connection.pipeline.receive(now, {m_buffer.data(), static_cast<std::size_t>(n)});
+}
+
+void CallerListener::update(Instant now, const ConnectionPtr &connection)
+{
+    auto &pipeline = connection->pipeline;
+    for (pipeline.pump(now); !pipeline.output().empty(); pipeline.pump(now)) {
+        if (!send(now, *connection)) {
+            close(*connection);
+            return;
+        }
+        if (!pipeline.output().empty()) {
+            break; // the socket takes no more now
+        }
+    }
+    if (pipeline.isClosing() && pipeline.output().empty() && !connection->isLingering) {
+        beginLingering(now, *connection);
+        return;
+    }
+    const std::uint32_t input = connection->isLingering || pipeline.wantsInput() ? EPOLLIN : 0U;
+    watch(*connection, input | (pipeline.output().empty() ? 0U : EPOLLOUT));
+}
+
+/// Returns false when the connection is lost.
+bool CallerListener::send(Instant now, Connection &connection)
+{
+    auto &output = connection.pipeline.output();
+    if (output.empty()) {
+        return true;
+    }
+    const auto n = ::send(connection.fd, output.data(), output.size(), MSG_NOSIGNAL);
+    if (n < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    connection.activeAt = now;
+    output.erase(0, static_cast<std::size_t>(n));
+    return true;
+}
+
+void CallerListener::watch(Connection &connection, std::uint32_t events) const
+{
+    if (connection.watched == events) {
+        return;
+    }
+    connection.watched = events;
+    epoll_event event{};
+    event.events = events | EPOLLRDHUP;
+    event.data.u64 = m_tag | static_cast<std::uint32_t>(connection.fd);
+    epoll_ctl(m_epollFd, EPOLL_CTL_MOD, connection.fd, &event);
+}
+
+void CallerListener::beginLingering(Instant now, Connection &connection)
+{
+    if (connection.pipeline.needsReset()) {
+        const linger abortive{1, 0};
+        setsockopt(connection.fd, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
+        close(connection);
+        return;
+    }
+    connection.isLingering = true;
+    connection.activeAt = now;
+    shutdown(connection.fd, SHUT_WR);
+    watch(connection, EPOLLIN);
+}
+
+void CallerListener::close(Connection &connection)
+{
+    const auto found = m_connections.find(connection.fd);
+    if (found == m_connections.end()) {
+        return;
+    }
+    const auto kept = found->second;
+    m_connections.erase(found);
+    m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
+    ::close(kept->fd);
+    kept->fd = -1;
+    kept->pipeline.disconnect();
+}
+
+void CallerListener::run(Instant now)
+{
+    while (!m_changed.empty()) {
+        const auto changed = std::exchange(m_changed, {});
+        for (const auto &it : changed) {
+            const auto connection = it.lock();
+            if (!connection || connection->fd < 0) {
+                continue;
+            }
+            connection->isChanged = false;
+            update(now, connection);
+        }
+    }
+    if (m_isAcceptDue) {
+        accept(now);
+    }
+    if (now >= m_nextTimeoutCheck) {
+        m_nextTimeoutCheck = now + TimeoutCheckInterval;
+        closeTimedOut(now);
+        watchListener(true);
+    }
+}
+
+void CallerListener::accept(Instant now)
+{
+    m_isAcceptDue = false;
+    for (int n = 0; n < MaxAcceptsPerRun && m_listenFd >= 0; ++n) {
+        if (m_connections.size() >= m_settings.connectionLimit) {
+            watchListener(false);
+            return;
+        }
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        const int fd = accept4(m_listenFd, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            // Without descriptors left, accepting again at once would fail again.
+            watchListener(errno == EAGAIN || errno == EINTR || errno == ECONNABORTED);
+            return;
+        }
+        char text[INET_ADDRSTRLEN] = "";
+        inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+        add(now, fd, text);
+    }
+}
+
+void CallerListener::add(Instant now, int fd, const std::string &callerAddress)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    PipelineLimits limits;
+    limits.headBytes = m_settings.headerBytes;
+    // The hooks find the connection by its socket: it owns the pipeline that owns them.
+    PipelineHooks hooks{m_hooks.onRequest, m_hooks.mayRunAhead, m_hooks.isStopping, m_hooks.onMalformed, {}, {}};
+    hooks.onChanged = [this, fd] {
+        const auto found = m_connections.find(fd);
+        if (found != m_connections.end() && !std::exchange(found->second->isChanged, true)) {
+            m_changed.push_back(found->second);
+        }
+    };
+    hooks.socket = [fd] {
+        return fd;
+    };
+    auto connection = std::make_shared<Connection>(fd, limits, std::move(hooks), callerAddress);
+    connection->activeAt = now;
+    connection->watched = EPOLLIN;
+    epoll_event event{};
+    event.events = EPOLLIN | EPOLLRDHUP;
+    event.data.u64 = m_tag | static_cast<std::uint32_t>(fd);
+    epoll_ctl(m_epollFd, EPOLL_CTL_ADD, fd, &event);
+    m_connections.emplace(fd, std::move(connection));
+    m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
+}
+
+void CallerListener::closeTimedOut(Instant now)
+{
+    std::vector<ConnectionPtr> expired;
+    for (const auto &[fd, it] : m_connections) {
+        const bool isWaitingForServer = it->pipeline.depth() > 0 && it->pipeline.output().empty();
+        const auto timeout = it->isLingering ? LingerTime : idleTimeout();
+        if (!isWaitingForServer && now - it->activeAt >= timeout) {
+            expired.push_back(it);
+        }
+    }
+    for (const auto &it : expired) {
+        close(*it);
+    }
+}
+
+}
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -62,7 +62,7 @@
     m_active.insert(request);
     request->exchange = exchange;
     request->ticket = m_nextTicket++;
-    request->arrivedAt = m_now;
+    request->arrivedAt = exchange->readAt();
     request->method = exchange->method();
     request->caller = hashKey(exchange->callerAddress());
     const std::weak_ptr<PendingRequest> weak = request; // avoids a reference cycle with the exchange
@@ -90,6 +90,16 @@
     };
 }
 
+bool RequestHandler::mayRunAhead(const Exchange &exchange) const
+{
+    const auto snapshot = m_shared.snapshot();
+    if (!m_shared.dialect() || !snapshot || !snapshot->routes()) {
+        return false;
+    }
+    const auto *rule = snapshot->routes()->find(exchange.header("Host"), exchange.target());
+    return rule && rule->repeatability == Repeatability::Idempotent;
+}
+
 bool RequestHandler::mayOutlastVm(const PendingRequest &request) const
 {
     return request.deadline > m_shared.lastAnswerAt();
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -26,12 +26,11 @@
     RequestHandler(ProxyShared &shared, UpstreamClient &upstream);
 
     void handleRequest(const std::shared_ptr<Exchange> &exchange);
+    /// Whether a request may run beside the ones before it on its connection: its route is idempotent.
+    bool mayRunAhead(const Exchange &exchange) const;
     /// Resumes paused bodies, starts delayed attempts and dispatches queued requests. Call once per iteration of the
     /// event loop.
     void run(Instant now);
-    /// Abandons the requests of callers that have left; looks at the connections every 100 ms. Call before the events
-    /// of server connections, so that after a stall no request is sent for a caller that left meanwhile.
-    void abandonLeft(Instant now);
     /// Closes the connections of all requests without a complete response, before the listener is destroyed.
     void dropAll();
 
@@ -103,11 +102,11 @@
     void reportKeyLoads();
     void refuseExpired();
 
-    // callers that have left (leftcallers.cpp)
-    /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
     /// Whether the request may run for longer than this VM, which is stopping.
     bool mayOutlastVm(const PendingRequest &request) const;
     void refuseForStop(const Pending &request);
+    // callers that have left (leftcallers.cpp)
+    /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
     static bool hasCallerLeft(const PendingRequest &request);
     /// Ends a request whose caller has left: it is not sent, and an attempt in flight is cancelled unless its outcome
     /// must be recorded.
@@ -184,7 +183,6 @@
     /// Snapshot as of the last run; a newer one triggers a retry of m_waitingForOwner.
     std::shared_ptr<const RoutingSnapshot> m_retriedSnapshot;
     std::mt19937_64 m_random;
-    Instant m_nextCallerCheck{};
     Instant m_nextExpiryCheck{};
     std::uint64_t m_nextTicket = 1;
     Instant m_now{};
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -24,9 +24,6 @@
     if (status == 429 || status == 503) {
         headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(1, (refusal.untilMs + 999) / 1000))});
     }
-    if (refusal.reason == Reason::StoppingVm) {
-        headers.push_back({"Connection", "close"});
-    }
     return headers;
 }
 
@@ -236,9 +233,6 @@
         request->inLedger = false;
         m_shared.ledger().answered(*request->id, std::move(response));
     }
-    if (m_shared.isDraining() && !request->streamsResponse) {
-        request->responseHeaders.push_back({"Connection", "close"});
-    }
     if (request->streamsResponse) {
         request->exchange->finishResponse();
     } else {
@@ -299,6 +293,11 @@
         m_active.erase(request);
         return;
     }
+    m_now = MonotonicClock::now();
+    logEvent(Events::RequestLeft,
+             "request {}: the caller disconnected within {} ms after it was read, {} attempts, server {}",
+             request->requestId, duration_cast<milliseconds>(m_now - request->arrivedAt).count(),
+             request->plan ? request->plan->attempts() : 0, request->serverIdentity.name);
     if (request->isQueued) {
         request->traffic->admission.cancel(request->ticket);
         request->traffic->queued.erase(request->ticket);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -101,6 +101,11 @@
         return {Reason::MalformedRequest, Outcome::NotRun, info.defect, 0};
     }
     request.idempotent = request.rule->repeatability == Repeatability::Idempotent;
+    if (exchange.isReadAhead() && !request.idempotent) {
+        // The route has changed since the request was read. Behind a response that closes the connection its caller
+        // would send it again.
+        return {Reason::NoConfiguration, Outcome::NotRun, "the route is not idempotent any more", 0};
+    }
     const auto limitMs = std::min(info.deadlineMs.value_or(request.rule->timeoutMs), request.rule->timeoutMs);
     request.deadline = request.arrivedAt + milliseconds(limitMs);
     if (request.traffic->route->document().distribution == Distribution::Keyed) {
@@ -313,9 +318,6 @@
         headers.push_back({std::move(name), std::move(value)});
     }
     addRelayOutcome(request, refusal, headers);
-    if (m_shared.isDraining()) {
-        headers.push_back({"Connection", "close"});
-    }
     request.exchange->respond(refusalStatus(refusal), std::move(headers), toJsonText(refusal) + "\n");
 }
 
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -124,8 +124,7 @@
     EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
-// Guards against a daemon that aborts at its stop deadline because requests are still in flight: libmicrohttpd does not
-// stop with suspended connections.
+// Guards against a daemon that does not end, or ends with an error, because requests are still in flight.
 TEST_F(WorkerTest, WorkerWithRequestsInFlightEnds)
 {
     EndlessServer server("HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
@@ -196,3 +195,95 @@
         EXPECT_EQ(shared.serverLimits().hasLimits(), n == 0) << n;
     }
 }
+
+namespace
+{
+/// Servers that answer no request before three have arrived, and the first of the caller's last.
+class WaitingServers
+{
+public:
+    std::string answer(const std::string &request)
+    {
+        const auto id = request.substr(request.find("Request: ") + 9, 3);
+        ++m_arrived;
+        waitUntil([&] { return m_arrived >= 3; });
+        if (id == "r-1") {
+            waitUntil([&] { return m_answered >= 2; });
+        }
+        ++m_answered;
+        return fmt::format("HTTP/1.1 200 OK\r\nRequest: {}\r\nContent-Length: 3\r\n\r\n{}", id, id);
+    }
+    int arrived() const
+    {
+        return m_arrived;
+    }
+
+private:
+    /// Gives up after a bounded number of looks, so that a broken test ends.
+    static void waitUntil(const std::function<bool()> &condition)
+    {
+        for (int n = 0; n < 5'000 && !condition(); ++n) {
+            const timespec pause{0, 1'000'000};
+            nanosleep(&pause, nullptr);
+        }
+    }
+
+    std::atomic<int> m_arrived{0};
+    std::atomic<int> m_answered{0};
+};
+}
+
+// Guards against reads that wait for each other because their caller sends them on one connection: each used up the
+// time of those behind it. Their responses keep the order of the requests although the servers answer the first one
+// last.
+TEST_F(WorkerTest, PipelinedReadsRunSideBySide)
+{
+    WaitingServers servers;
+    const auto script = [&](int, const std::string &request) {
+        return servers.answer(request);
+    };
+    RawServer first(script);
+    RawServer second(script);
+    RawServer third(script);
+    setRoutes({first.address(), second.address(), third.address()}, Distribution::Balanced);
+    listen();
+    RawCaller caller(worker.address());
+    std::string requests;
+    for (const auto *id : {"r-1", "r-2", "r-3"}) {
+        requests += fmt::format("GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: {}\r\n\r\n", id);
+    }
+    caller.send(requests);
+    EXPECT_TRUE(runUntil([&] { return caller.received().find("\r\n\r\nr-3") != std::string::npos; }));
+    const auto text = caller.received();
+    EXPECT_LT(text.find("\r\n\r\nr-1"), text.find("\r\n\r\nr-2"));
+    EXPECT_LT(text.find("\r\n\r\nr-2"), text.find("\r\n\r\nr-3"));
+}
+
+// Guards against a request that runs twice: behind a response that closes the connection its caller sends it again.
+TEST_F(WorkerTest, PipelinedOrdersRunOneAfterTheOther)
+{
+    repeatability = Repeatability::AtMostOnce;
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({server.address()}, Distribution::Balanced);
+    listen();
+    RawCaller caller(worker.address());
+    caller.send(std::string(Get) + Get);
+    ASSERT_TRUE(runUntil([&] { return attempts() == 1; }));
+    EXPECT_EQ(shared.inFlight().load(), 1);
+    EXPECT_TRUE(runUntil([&] { return attempts() == 2 && shared.inFlight().load() == 0; }));
+}
+
+// Guards against the requests behind a caller's first one that go on running after it has left.
+TEST_F(WorkerTest, PipelinedRequestsOfACallerThatLeftAreCancelled)
+{
+    EndlessServer server("HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    EndlessServer other("HTTP/1.1 200 OK\r\nRequest: r-1\r\n\r\n", std::string(4'000, 'b'));
+    setRoutes({server.address(), other.address()}, Distribution::Balanced);
+    listen();
+    RawCaller caller(worker.address());
+    caller.send(std::string(Get) + Get);
+    ASSERT_TRUE(runUntil([&] { return attempts() == 2; }));
+    caller.leave();
+    EXPECT_TRUE(runUntil([&] { return worker.connectionCount() == 0; }));
+    EXPECT_EQ(shared.inFlight().load(), 0);
+}
--- a/src/proxy/worker.cpp
+++ b/src/proxy/worker.cpp
@@ -15,7 +15,7 @@
 
 namespace
 {
-constexpr std::uint64_t ListenerTag = 1ULL << 32;
+constexpr std::uint64_t CallerTag = 1ULL << 32;
 constexpr std::uint64_t WakeTag = 2ULL << 32;
 constexpr std::uint64_t UpstreamTag = 3ULL << 32;
 constexpr std::uint64_t TagMask = 0xffffffffULL << 32;
@@ -44,8 +44,13 @@
     , m_malformed(shared.metrics().counter("galenarock_malformed_http_total"))
     , m_upstream(m_epollFd, UpstreamTag)
     , m_handler(shared, m_upstream)
-    , m_listener([this](const std::shared_ptr<Exchange> &it) { m_handler.handleRequest(it); },
-                 [this](std::string_view text) { countMalformed(text); })
+    , m_listener(m_epollFd, CallerTag,
+                 {[this](const std::shared_ptr<Exchange> &it) { m_handler.handleRequest(it); },
+                  [this](const Exchange &it) { return m_handler.mayRunAhead(it); },
+                  [&shared] { return shared.isDraining() || shared.isRefusing(); },
+                  [this](std::string_view text) {
+                      countMalformed(text);
+                  }})
 {
     watchInput(m_epollFd, m_wakeFd, WakeTag);
     // libcurl's default limit is four connections per request in flight, which can be fewer than there are servers.
@@ -56,16 +61,14 @@
 {
     stop();
     m_handler.dropAll();
-    m_listener.run();
+    m_listener.run(MonotonicClock::now());
     close(m_wakeFd);
     close(m_epollFd);
 }
 
 Result<void> Worker::listen(const ListenerSettings &settings)
 {
-    BOOST_LEAF_CHECK(m_listener.listen(settings));
-    watchInput(m_epollFd, m_listener.epollFd(), ListenerTag);
-    return {};
+    return m_listener.listen(settings);
 }
 
 void Worker::start(unsigned number)
@@ -113,7 +116,7 @@
     if (m_listener.isRunNeeded()) {
         return 0;
     }
-    return shorterTimeoutMs(shorterTimeoutMs(MaxWaitMs, m_listener.timeoutMs()), m_upstream.timeoutMs(now));
+    return shorterTimeoutMs(MaxWaitMs, m_upstream.timeoutMs(now));
 }
 
 void Worker::runOnce()
@@ -121,23 +124,36 @@
     std::array<epoll_event, MaxEventsPerWait> events;
     const int n = epoll_wait(m_epollFd, events.data(), MaxEventsPerWait, waitMs(MonotonicClock::now()));
     const auto wokenAt = MonotonicClock::now();
-    m_handler.abandonLeft(wokenAt);
-    for (int it = 0; it < n; ++it) {
-        const auto tag = events[static_cast<std::size_t>(it)].data.u64 & TagMask;
-        if (tag == WakeTag) {
-            handleWake();
-        } else if (tag == UpstreamTag) {
-            const auto fd = static_cast<int>(events[static_cast<std::size_t>(it)].data.u64 & 0xffffffffULL);
-            m_upstream.handleSocket(fd, events[static_cast<std::size_t>(it)].events);
-        }
-    }
+    // Callers first, so that after a stall no request is sent for a caller that has left meanwhile.
+    handleEvents(events.data(), n, CallerTag);
+    handleEvents(events.data(), n, WakeTag);
+    handleEvents(events.data(), n, UpstreamTag);
     const auto now = MonotonicClock::now();
     m_upstream.run(now);
     m_handler.run(now);
-    m_listener.run();
+    m_listener.run(now);
     logLag(wokenAt, n);
 }
 
+/// Handles those of the `n` events that have the tag.
+void Worker::handleEvents(const epoll_event *events, int n, std::uint64_t tag)
+{
+    for (int it = 0; it < n; ++it) {
+        const auto &event = events[it];
+        if ((event.data.u64 & TagMask) != tag) {
+            continue;
+        }
+        const auto fd = static_cast<int>(event.data.u64 & ~TagMask);
+        if (tag == CallerTag) {
+            m_listener.handleSocket(MonotonicClock::now(), fd, event.events);
+        } else if (tag == UpstreamTag) {
+            m_upstream.handleSocket(fd, event.events);
+        } else {
+            handleWake();
+        }
+    }
+}
+
 /// A VM that is short of processor time reads requests late; without this line they look new.
 void Worker::logLag(Instant wokenAt, int events) const
 {
--- a/src/proxy/worker_p.h
+++ b/src/proxy/worker_p.h
@@ -4,9 +4,11 @@
 #include <string>
 #include <string_view>
 
+#include <sys/epoll.h>
+
 #include <galenarock/thread.h>
 
-#include "exchange_p.h"
+#include "callerlistener_p.h"
 #include "requesthandler_p.h"
 #include "upstream_p.h"
 
@@ -58,6 +60,7 @@
 private:
     void countMalformed(std::string_view text);
     int waitMs(Instant now) const;
+    void handleEvents(const epoll_event *events, int n, std::uint64_t tag);
     void handleWake();
     void logLag(Instant wokenAt, int events) const;
 
