Let few daemons of a large fleet watch the store and pass its changes on

Change: from 12 daemons on, WatchFeed chooses watchers from the member list: one for ten daemons, at most two for each failure domain, large VMs first. They pass on what a watch or a repeated list has read; each other daemon has two sources, of its own domain first. A receiver applies a change only if it continues its revision; after a gap, 150 ms behind what any watcher states, or 600 ms without a watcher that reaches the store, it reads the store itself, as before. A watcher states the highest revision of all watchers, so one whose watch hangs misleads nobody. Changes above 32 KiB are read from the store. Receivers learn of outages of the store from the watchers, so that entries that lapsed in one are not taken for gone. Only builds that state the feature watch-feed take part. Also: a daemon that the store turns away gets the changes of the others. Test: WatchFeedTest, FeedLagTest, and a simulation of 195 and 600 daemons with lost messages and with all watchers lost.

--- a/include/galenarock/peerfeatures.h
+++ b/include/galenarock/peerfeatures.h
@@ -26,6 +26,8 @@
     /// Does not take a relayed request whose sender uses a newer configuration, and states the outcome in each refusal
     /// of a relayed request.
     RelayVersions = 1U << 2,
+    /// Watches the store for others, or takes the store's changes from those that do (galenarock/watchfeed.h).
+    WatchFeed = 1U << 3,
 };
 
 /// What a daemon states of its build.
--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -3,10 +3,12 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <galenarock/control.h>
 #include <galenarock/error.h>
@@ -118,6 +120,41 @@
 
 using StoreRequest = std::variant<ReadObjectAction, WriteObjectAction, ListObjectsRequest>;
 
+/// What changed in a watched kind between two revisions of the store. Of an object that changed several times only the
+/// last state counts.
+struct WatchChange
+{
+    std::string kind;
+    /// Era of the store; 0 for a store without eras.
+    std::uint64_t era = 0;
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::vector<StoredObject> items;
+    std::vector<ObjectKey> removed;
+
+    friend bool operator==(const WatchChange &a, const WatchChange &b)
+    {
+        return a.kind == b.kind && a.era == b.era && a.from == b.from && a.to == b.to && a.items == b.items
+            && a.removed == b.removed;
+    }
+};
+
+/// What other daemons pass on of the store's changes (galenarock/watchfeed.h).
+struct WatchFeedView
+{
+    /// This daemon passes changes on.
+    bool isWatcher = false;
+    /// Until then others pass changes on to this daemon, which makes no watch calls of its own while it keeps up.
+    Instant fedUntil{};
+    /// Revisions by kind that another daemon is known to have.
+    std::map<std::string, std::uint64_t> newest;
+
+    friend bool operator==(const WatchFeedView &a, const WatchFeedView &b)
+    {
+        return a.isWatcher == b.isWatcher && a.fedUntil == b.fedUntil && a.newest == b.newest;
+    }
+};
+
 struct StoreClientSettings
 {
     /// `http://ip:port`
@@ -139,6 +176,10 @@
     /// A request that waits longer than this for the call budget is dropped without being sent.
     Duration queueTimeout = seconds(3);
     std::size_t ringCapacity = 1024;
+    /// A daemon that is behind others by their statuses waits this long for the change that they pass on.
+    Duration feedGrace = milliseconds(150);
+    /// While others pass changes on, kinds are listed again at this multiple of `relistInterval`.
+    int fedRelistFactor = 5;
     CallBudgetSettings budget;
     StoreDialect dialect = nativeStoreDialect();
 };
@@ -170,6 +211,14 @@
     void setVmListInterval(Duration interval);
     /// Passed to CallBudget::setDaemonCount(). Any thread.
     void setDaemonCount(std::size_t count);
+    /// Called on the client's thread with each change that a watch or a repeated list has read, while this daemon is a
+    /// watcher. Must be set before the first call of setFeed().
+    void setChangeHook(std::function<void(const WatchChange &)> hook);
+    /// Any thread.
+    void setFeed(WatchFeedView view);
+    /// Takes a change that another daemon has read. It has no effect unless it continues what this client knows; a gap
+    /// makes the client read the store. Any thread.
+    void apply(WatchChange change);
     /// False from a failed call until the next one that is answered.
     bool isReachable() const;
 
--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -2,7 +2,7 @@
 
 #include <galenarock/eventlog.h>
 
-/// Log events of the gateway, numbers 120 to 130. Documented in docs/events.md.
+/// Log events of the gateway, numbers 120 to 132. Documented in docs/events.md.
 namespace Galenarock::Events
 {
 
@@ -16,6 +16,8 @@
 inline constexpr EventType DaemonEntryRefused{127, Severity::Warning, "daemon-entry-refused"};
 inline constexpr EventType FeatureUseChanged{130, Severity::Info, "feature-use-changed"};
 inline constexpr EventType PeerKeyReplaced{129, Severity::Warning, "peer-key-replaced"};
+inline constexpr EventType WatcherChanged{131, Severity::Info, "watcher-changed"};
+inline constexpr EventType WatchFeedMalformed{132, Severity::Warning, "watch-feed-malformed"};
 inline constexpr EventType ReloadIgnored{128, Severity::Info, "reload-ignored"};
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,6 +97,9 @@
     std::atomic<PeerTransport *> m_openPeers{nullptr};
     std::mutex m_membersMutex;
     std::vector<Member> m_members;
+    std::mutex m_changesMutex;
+    /// Changes of the store that this daemon has read and not yet passed on.
+    std::vector<WatchChange> m_changes;
 };
 
 Gateway::Impl::Impl(Settings gatewaySettings, GatewayDialect platformDialect)
@@ -166,6 +169,16 @@
     hooks.isStoreReachable = [this] {
         return store->isReachable();
     };
+    hooks.setFeed = [this](const WatchFeedView &it) {
+        store->setFeed(it);
+    };
+    hooks.applyChange = [this](const WatchChange &it) {
+        store->apply(it);
+    };
+    hooks.takeChanges = [this] {
+        const std::lock_guard lock(m_changesMutex);
+        return std::exchange(m_changes, {});
+    };
     hooks.openPeers = [this](const std::string &it) {
         return openPeers(it);
     };
@@ -242,6 +255,10 @@
     client.budget.seed = self.boot;
     store = std::make_unique<StoreClient>(
         client, metrics, [this](ControlEvent event) { return control->post(EventSource::Platform, std::move(event)); });
+    store->setChangeHook([this](const WatchChange &it) {
+        const std::lock_guard lock(m_changesMutex);
+        m_changes.push_back(it);
+    });
     store->setWatch(dialect.configuration.kind, true);
     store->setWatch(dialect.serverKind, true);
 }
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -70,6 +70,7 @@
     , m_hooks(std::move(hooks))
     , m_membership(membershipSettings(m_settings, {}))
     , m_features(m_settings.self, ownBuild())
+    , m_feed(m_settings.self, WatchFeedSettings())
     , m_serviceRoutes(m_settings.retryPercent)
     , m_status(std::make_shared<const GatewayStatus>())
 {
@@ -93,6 +94,7 @@
         onStoreEra(now, store->era);
         return;
     } else if (const auto *synced = std::get_if<KindSyncedEvent>(&event)) {
+        m_feed.synced(synced->kind, synced->revision);
         if (synced->kind == m_dialect.serverKind && !m_areServersKnown) {
             m_areServersKnown = true;
             serversChanged();
@@ -108,6 +110,10 @@
             m_areFeaturesOutdated = true;
             return;
         }
+        if (peer->type == WatchMessage::Status || peer->type == WatchMessage::Change) {
+            receiveFeed(now, *peer);
+            return;
+        }
     } else if (std::holds_alternative<StopEvent>(event)) {
         m_isStopping = true;
     }
@@ -122,6 +128,7 @@
     }
     joinFleet(now);
     carryOut(now, m_features.tick(now));
+    carryOut(now, m_feed.tick(now, m_hooks.isStoreReachable()));
     const bool reachesServers = m_hooks.reachesServers();
     for (auto &[service, controller] : m_leases) {
         controller.setReachesServers(reachesServers);
@@ -182,6 +189,7 @@
 {
     const bool isRestored = m_storeEra != 0;
     m_storeEra = era;
+    m_feed.setEra(era);
     for (auto &[service, controller] : m_leases) {
         carryOut(now, controller.step(now, StoreEraEvent{era}));
     }
@@ -432,12 +440,60 @@
         publishFeatures();
     }
     updateLeaseServers(now);
+    updateFeed(now);
+}
+
+/// Changes of the store that another daemon passes on, and what it knows.
+void GatewayControlPlane::receiveFeed(Instant now, const PeerEvent &event)
+{
+    tryOr(
+        [&]() -> Result<void> {
+            if (event.type == WatchMessage::Status) {
+                BOOST_LEAF_AUTO(status, decodeWatchStatus(event.payload));
+                m_feed.receive(now, status);
+                return {};
+            }
+            BOOST_LEAF_AUTO(fed, decodeFedChange(event.payload));
+            if (fed.sinceOutage) {
+                m_servers.outageSeen(now - *fed.sinceOutage);
+            }
+            m_hooks.applyChange(fed.change);
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) {
+            logEvent(Events::WatchFeedMalformed, "type {} from {}: {} {}", event.type, event.sender.name,
+                     errorMessage(code), detail);
+        });
+}
+
+/// Passes on what this daemon has read of the store, and tells the store client what others pass on.
+void GatewayControlPlane::updateFeed(Instant now)
+{
+    for (auto &it : m_hooks.takeChanges()) {
+        carryOut(now, m_feed.share({std::move(it), m_servers.sinceOutage(now)}));
+    }
+    auto view = m_feed.view();
+    if (view == m_feedView) {
+        return;
+    }
+    if (view.isWatcher != m_feedView.isWatcher) {
+        logEvent(Events::WatcherChanged, "{}",
+                 view.isWatcher ? "watches the store for others" : "does not watch for others");
+    }
+    m_feedView = std::move(view);
+    m_hooks.setFeed(m_feedView);
 }
 
 /// Called when a member or its build has changed.
 void GatewayControlPlane::publishFeatures()
 {
     m_builds.reset();
+    auto feeding = m_features.membersWith(PeerFeature::WatchFeed);
+    const auto isGone = [](const Member &it) {
+        return it.status != MemberStatus::Alive && it.status != MemberStatus::Suspect;
+    };
+    feeding.erase(std::remove_if(feeding.begin(), feeding.end(), isGone), feeding.end());
+    m_feed.setMembers(feeding);
     // A build without this feature would decide a relayed request by its own configuration, also by an older one.
     const auto relays = m_features.membersWith(PeerFeature::RelayVersions);
     m_hooks.relaysChanged(relays);
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -10,6 +10,7 @@
 #include <galenarock/membership.h>
 #include <galenarock/peerfeatures.h>
 #include <galenarock/routing.h>
+#include <galenarock/watchfeed.h>
 
 #include "daemon/decisionlog_p.h"
 #include "serverdirectory_p.h"
@@ -40,6 +41,12 @@
     /// The list of all daemons has been read from the store.
     std::function<void()> fleetListed;
     std::function<bool()> isStoreReachable;
+    /// What other daemons pass on of the store's changes, for the store client.
+    std::function<void(const WatchFeedView &)> setFeed;
+    /// A change that another daemon has read.
+    std::function<void(const WatchChange &)> applyChange;
+    /// Changes that this daemon has read since the last call, to be passed on.
+    std::function<std::vector<WatchChange>()> takeChanges;
     /// Opens the peer transport with the key that all daemons share. Returns its address; empty on failure.
     std::function<std::string(const std::string &hexKey)> openPeers;
 };
@@ -111,6 +118,8 @@
     void applyChanges(Instant now);
     void sendLoadReports(Instant now);
     void publishFeatures();
+    void receiveFeed(Instant now, const PeerEvent &event);
+    void updateFeed(Instant now);
     void stepMembership(Instant now, const ControlEvent &event);
     void stepLeases(Instant now, const ControlEvent &event);
     void carryOut(Instant now, LeaseActions actions);
@@ -126,6 +135,8 @@
     std::vector<Member> m_members;
     PeerFeatures m_features;
     bool m_areRelaysFleetWide = false;
+    WatchFeed m_feed;
+    WatchFeedView m_feedView;
     VmList m_daemons;
     ServerDirectory m_servers;
     ServiceRoutes m_serviceRoutes;
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -141,6 +141,17 @@
     return true;
 }
 
+void ServerDirectory::outageSeen(Instant at)
+{
+    m_hadOutage = true;
+    m_lastOutageAt = std::max(m_lastOutageAt, at);
+}
+
+std::optional<Duration> ServerDirectory::sinceOutage(Instant now) const
+{
+    return m_hadOutage ? std::optional<Duration>(now - m_lastOutageAt) : std::nullopt;
+}
+
 bool ServerDirectory::update(Instant now, bool isStoreReachable)
 {
     if (!isStoreReachable) {
--- a/src/gateway/serverdirectory_p.h
+++ b/src/gateway/serverdirectory_p.h
@@ -33,6 +33,10 @@
     /// time to write them again; entries of servers that had left are ignored until these write, if they live after
     /// all.
     void storeRestored(Instant now);
+    /// Another daemon saw an outage of the store that ended at `at`, which this daemon may not have seen.
+    void outageSeen(Instant at);
+    /// Time since the store was last away; empty if it never was.
+    std::optional<Duration> sinceOutage(Instant now) const;
     /// Call on each tick. Returns true when servers were removed or the handover time of a draining server ended.
     bool update(Instant now, bool isStoreReachable);
 
--- a/src/membership/peerfeatures.cpp
+++ b/src/membership/peerfeatures.cpp
@@ -24,10 +24,11 @@
     PeerFeature feature;
     const char *name;
 };
-constexpr std::array<FeatureName, 3> FeatureNames{{
+constexpr std::array<FeatureName, 4> FeatureNames{{
     {PeerFeature::Relays, "relays"},
     {PeerFeature::BoundLeaseCalls, "bound-lease-calls"},
     {PeerFeature::RelayVersions, "relay-versions"},
+    {PeerFeature::WatchFeed, "watch-feed"},
 }};
 
 struct WireStatement
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -45,6 +45,8 @@
     bool isList = false;
     /// Watches only: the call continues a list or a watch, so its response means something only in the same era.
     bool continuesEarlierCall = false;
+    /// Watches: revision from which the call continues.
+    std::uint64_t fromRevision = 0;
     /// Writes only.
     WriteObjectAction write;
     /// Set when libcurl is about to send the request on an open connection.
--- a/src/objectstore/objectdelivery.cpp
+++ b/src/objectstore/objectdelivery.cpp
@@ -13,6 +13,12 @@
     listedNames.clear();
 }
 
+void WatchState::endList()
+{
+    restartList();
+    needsList = false;
+}
+
 void WatchState::restartEra()
 {
     restartList();
--- a/src/objectstore/objectdelivery_p.h
+++ b/src/objectstore/objectdelivery_p.h
@@ -7,7 +7,9 @@
 #include <string>
 
 #include <galenarock/control.h>
-#include <galenarock/storedialect.h>
+#include <galenarock/storeclient.h>
+
+#include "objectstore/feedlag_p.h"
 
 namespace Galenarock
 {
@@ -32,8 +34,13 @@
     std::uint64_t listRevision = 0;
     Instant nextAt;
     Instant listedAt;
+    FeedLag feedLag;
+    /// What the pages of the list in progress have changed, to be passed on.
+    WatchChange listed;
 
     void restartList();
+    /// No list is needed: what is known is newer.
+    void endList();
     /// For a store that continues from an older copy: lists the kind again, whose versions begin anew.
     void restartEra();
 };
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -61,6 +61,11 @@
     std::atomic<std::size_t> m_daemonCount{1};
     std::atomic<bool> m_isReachable{true};
 
+    std::mutex m_feedMutex; ///< Guards the following members.
+    WatchFeedView m_requestedFeed;
+    std::vector<WatchChange> m_fedChanges;
+    std::function<void(const WatchChange &)> m_changeHook;
+
 private:
     void run();
     void takeRequests(Instant now);
@@ -69,6 +74,11 @@
     void startQueued(Instant now);
     void applyRequestedWatches(Instant now);
     void startWatches(Instant now);
+    void applyFeed(Instant now);
+    void applyChange(Instant now, WatchChange &change);
+    bool isFed(Instant now, const std::string &kind, WatchState &state) const;
+    void share(WatchChange change) const;
+    WatchChange changeOf(const HttpCall &call, const ObjectPage &page, WatchState &watch) const;
     void startVmList(Instant now);
     void start(std::unique_ptr<HttpCall> call);
     void finishCalls();
@@ -104,6 +114,7 @@
     std::array<std::deque<PendingCall>, 4> m_queues;
     std::map<CURL *, std::unique_ptr<HttpCall>> m_calls;
     std::map<std::string, WatchState> m_watches;
+    WatchFeedView m_feed;
     /// Highest era that a response stated; 0 before the first one.
     std::uint64_t m_era = 0;
     /// False when the handler could not take the event of the era.
@@ -164,6 +175,7 @@
         expireQueued(now);
         startQueued(now);
         applyRequestedWatches(now);
+        applyFeed(now);
         startWatches(now);
         startVmList(now);
         int running = 0;
@@ -266,7 +278,7 @@
 void StoreClient::Private::startWatches(Instant now)
 {
     for (auto &[kind, state] : m_watches) {
-        if (!state.isEnabled || state.inFlight != nullptr || now < state.nextAt) {
+        if (!state.isEnabled || state.inFlight != nullptr || now < state.nextAt || isFed(now, kind, state)) {
             continue;
         }
         // During an outage one call at a time probes the platform. A list is used, because its response comes at once
@@ -282,6 +294,7 @@
         auto call = state.needsList ? makeWatchList(m_settings, kind, state.listAfter)
                                     : makeWatchPoll(m_settings, kind, state.revision);
         call->continuesEarlierCall = !state.needsList || !state.listAfter.empty();
+        call->fromRevision = state.revision;
         if (state.needsList) {
             state.listedAt = now;
         }
@@ -478,9 +491,102 @@
     m_handler(std::move(event));
 }
 
+/// Takes what other daemons pass on, and what they are known to have.
+void StoreClient::Private::applyFeed(Instant now)
+{
+    std::vector<WatchChange> changes;
+    {
+        const std::lock_guard lock(m_feedMutex);
+        m_feed = m_requestedFeed;
+        changes.swap(m_fedChanges);
+    }
+    for (auto &it : changes) {
+        applyChange(now, it);
+    }
+}
+
+void StoreClient::Private::applyChange(Instant now, WatchChange &change)
+{
+    const auto found = m_watches.find(change.kind);
+    const bool isUsable = found != m_watches.end() && found->second.isEnabled && found->second.revision != 0
+        && change.era == m_era && change.to > found->second.revision;
+    if (!isUsable) {
+        return;
+    }
+    auto &state = found->second;
+    if (change.from > state.revision) {
+        state.feedLag.lost(now, m_settings.feedGrace);
+        return;
+    }
+    ObjectPage page;
+    page.revision = change.to;
+    page.items = std::move(change.items);
+    page.removed = std::move(change.removed);
+    if (m_delivery.deliver(change.kind, page, false, state) == PageEnd::EventLost) {
+        state.restartList();
+        state.nextAt = now + WatchRetryDelay;
+        return;
+    }
+    m_metrics.counter("galenarock_platform_changes_total", "source=\"peer\"").add();
+    state.revision = change.to;
+    m_handler(KindSyncedEvent{change.kind, change.to});
+}
+
+/// Whether the kind needs no watch call of this daemon now.
+bool StoreClient::Private::isFed(Instant now, const std::string &kind, WatchState &state) const
+{
+    const bool isRelistDue = now - state.listedAt > m_settings.relistInterval * m_settings.fedRelistFactor;
+    if (state.needsList || isRelistDue || m_budget.isInOutage()) {
+        return false;
+    }
+    return state.feedLag.keepsUp(now, m_feed, kind, state.revision, m_settings.feedGrace);
+}
+
+void StoreClient::Private::share(WatchChange change) const
+{
+    if (m_feed.isWatcher && m_changeHook && change.from != 0) {
+        m_changeHook(change);
+    }
+}
+
+/// What the page changes, before it is passed on; for a list of several pages what all of them change, with the last
+/// one. Empty, with `from` 0, when that is not known.
+WatchChange StoreClient::Private::changeOf(const HttpCall &call, const ObjectPage &page, WatchState &watch) const
+{
+    if (!m_feed.isWatcher) {
+        return {};
+    }
+    WatchChange change{call.key.kind, m_era, watch.revision, page.revision, page.items, page.removed};
+    if (!call.isList) {
+        return change;
+    }
+    if (watch.listAfter.empty()) {
+        watch.listed = {call.key.kind, m_era, watch.revision, page.revision, {}, {}};
+    }
+    for (const auto &it : page.items) {
+        if (it.version > watch.listed.from) {
+            watch.listed.items.push_back(it);
+        }
+    }
+    if (!page.nextAfter.empty()) {
+        return {};
+    }
+    auto names = watch.listedNames;
+    for (const auto &it : page.items) {
+        names.insert(it.key.name);
+    }
+    for (const auto &[name, version] : watch.deliveredVersions) {
+        if (names.count(name) == 0) {
+            watch.listed.removed.push_back({call.key.kind, name});
+        }
+    }
+    return std::move(watch.listed);
+}
+
 Duration StoreClient::Private::watchPause() const
 {
-    const double scale = std::max(1.0, static_cast<double>(m_daemonCount.load()) / DaemonsAtBaseWatchPause);
+    const double callers = m_feed.isWatcher ? 1 : static_cast<double>(m_daemonCount.load());
+    const double scale = std::max(1.0, callers / DaemonsAtBaseWatchPause);
     const auto pause = duration_cast<Duration>(m_settings.watchPause * scale);
     return std::min(pause, std::max(m_settings.watchPause, m_settings.longestWatchPause));
 }
@@ -533,6 +639,12 @@
         m_delivery.deliver(page);
         return;
     }
+    // Others may have passed on what this call has read, and more.
+    if (call.fromRevision < watch->revision && page.revision <= watch->revision) {
+        watch->endList();
+        return;
+    }
+    auto change = changeOf(call, page, *watch);
     switch (m_delivery.deliver(kind, page, call.isList, *watch)) {
     case PageEnd::MorePages:
         return;
@@ -551,8 +663,12 @@
     } else {
         watch->needsList = false;
     }
+    const bool isNew = revision > watch->revision;
     watch->revision = revision;
     m_handler(KindSyncedEvent{kind, revision});
+    if (isNew) {
+        share(std::move(change));
+    }
 }
 
 void StoreClient::Private::onVmList(const HttpCall &call)
@@ -608,6 +724,27 @@
     m_data->m_daemonCount.store(count);
 }
 
+void StoreClient::setChangeHook(std::function<void(const WatchChange &)> hook)
+{
+    const std::lock_guard lock(m_data->m_feedMutex);
+    m_data->m_changeHook = std::move(hook);
+}
+
+void StoreClient::setFeed(WatchFeedView view)
+{
+    const std::lock_guard lock(m_data->m_feedMutex);
+    m_data->m_requestedFeed = std::move(view);
+}
+
+void StoreClient::apply(WatchChange change)
+{
+    {
+        const std::lock_guard lock(m_data->m_feedMutex);
+        m_data->m_fedChanges.push_back(std::move(change));
+    }
+    m_data->wake();
+}
+
 bool StoreClient::isReachable() const
 {
     return m_data->m_isReachable.load();
