Tell a leader again that an earlier one has stopped while it still waits

Cause: a leader waits up to 15 s for moves of an earlier leader that may still send lease calls. A daemon whose write of the record had no answer, and which the record therefore names as leader, never said it. Change: while the leader announces that it waits, a daemon that has been a candidate tells it again each 500 ms.

--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -100,6 +100,7 @@
     std::vector<RecordedRange> initialRanges() const;
     void limitToOneGrant();
     void dropReplacedLeaders();
+    void tellStopped(const std::string &leader, const LeaseNotice &notice);
     void removeFormerLeaders(const std::function<bool(const Identity &)> &hasStopped);
 
     // lease calls
@@ -183,6 +184,9 @@
     std::uint32_t m_seenEpoch = 0;
     /// Highest epoch of a leader that this daemon has heard.
     std::uint32_t m_heardEpoch = 0;
+    /// This daemon has written the record to take the lead.
+    bool m_wasCandidate = false;
+    Instant m_nextStoppedAt{};
     /// Latest epoch whose leader was sent a Stopped message by this daemon.
     std::uint32_t m_stoppedSentEpoch = 0;
     Instant m_nextTableRequestAt{};
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -40,6 +40,8 @@
 constexpr double MessageOverheadBytes = 130;
 /// Longest time for which a change is held back to be sent with others; until then, requests for a released key fail.
 constexpr Duration LongestTablePause = milliseconds(100);
+/// Time after which a leader that still waits for earlier ones is told again that this daemon has stopped.
+constexpr Duration StoppedInterval = milliseconds(500);
 /// Minimum time between two requests for the table: a second reply would only add load to the leader's network link.
 constexpr Duration TableRequestInterval = milliseconds(250);
 }
@@ -204,16 +206,26 @@
     m_leaderHeardAt = m_now;
     m_leaderName = event.sender.name;
     m_soleEpoch = notice.isSole ? notice.epoch : (m_soleEpoch == notice.epoch ? 0 : m_soleEpoch);
-    if (m_epoch > 0 && m_stoppedSentEpoch < notice.epoch) {
-        // This daemon was a leader earlier; the new leader must learn that it no longer sends lease calls.
-        m_stoppedSentEpoch = notice.epoch;
-        sendPeer(event.sender.name, LeaseMessage::Stopped, encode(notice));
-    }
+    tellStopped(event.sender.name, notice);
     if (std::tie(m_table.epoch, m_table.nextSequence) < std::tie(notice.epoch, notice.version)) {
         requestTable(event.sender.name);
     }
 }
 
+/// A new leader must learn that a daemon which has led, or which the record may name since its write had no answer,
+/// sends no lease calls. Repeated while the leader still waits for earlier ones, since the message may be lost.
+void LeaseController::Private::tellStopped(const std::string &leader, const LeaseNotice &notice)
+{
+    const bool isNewLeader = m_stoppedSentEpoch < notice.epoch;
+    const bool isAwaited = !notice.isSole && m_now >= m_nextStoppedAt;
+    if (!m_wasCandidate || m_role != LeaseRole::Follower || !(isNewLeader || isAwaited)) {
+        return;
+    }
+    m_stoppedSentEpoch = notice.epoch;
+    m_nextStoppedAt = m_now + StoppedInterval;
+    sendPeer(leader, LeaseMessage::Stopped, encode(notice));
+}
+
 void LeaseController::Private::adoptTable(const Assignment &table)
 {
     if (table.epoch < m_seenEpoch || m_role == LeaseRole::Leader
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -137,6 +137,7 @@
                         record.former.end());
     record.leader = m_settings.self;
     m_role = LeaseRole::Candidate;
+    m_wasCandidate = true;
     writeRecord(record);
 }
 
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -104,6 +104,28 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// Guards against keys that wait for the longest time of an earlier leader, although it has stopped, because its message
+// was lost. Seen at the start of a fleet of 82 VMs: 51 of 135 ranges had no owner for 14 s.
+TEST(LeasesTest, LostMessageOfAFormerLeaderIsSentAgain)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        LeaseSimulation simulation(seed, 3, 6);
+        simulation.run(seconds(5));
+        ASSERT_TRUE(simulation.leader());
+        const auto former = *simulation.leader();
+        simulation.crashServer(0, false);
+        simulation.daemons[former].isSuspended = true;
+        simulation.run(seconds(2));
+        simulation.resume(former);
+        simulation.lostPeerMessageShare = 0.5;
+        simulation.run(milliseconds(300));
+        simulation.lostPeerMessageShare = 0;
+        simulation.run(seconds(6));
+        EXPECT_EQ(simulation.servedPositions(), simulation.positions().size()) << seed;
+        EXPECT_EQ(simulation.violation, "");
+    }
+}
+
 // A leader is cut from everything, and its successor moves keys away from a server, which restarts afterwards. Guards
 // against grants that the former leader sends at the end of the cut: the new process has seen no later fencing token
 // that would make it refuse them (OWNER).
