Let watchers of the store settle before they pass changes on

Change: a daemon passes changes on after it has been chosen for 5 s; large VMs with the last names come first, since leaders are those with the first ones. Counts requests of pipelines by depth.

--- a/include/galenarock/watchfeed.h
+++ b/include/galenarock/watchfeed.h
@@ -35,6 +35,9 @@
     std::size_t watchersPerDomain = 2;
     /// Watchers that pass changes on to one daemon.
     std::size_t sources = 2;
+    /// A daemon passes nothing on before it has been a watcher for this time. While a fleet starts its daemons know few
+    /// others, choose many watchers, and are short of processor time.
+    Duration settleTime = seconds(5);
     Duration statusInterval = milliseconds(200);
     /// A daemon that hears no watcher for this time watches itself. Three statuses are lost then.
     Duration silence = milliseconds(600);
@@ -86,8 +89,8 @@
     WatchFeed(Identity self, WatchFeedSettings settings);
 
     /// `members` are the live daemons, this one included, that take part (PeerFeature::WatchFeed).
-    void setMembers(const std::vector<Member> &members);
-    /// Whether this daemon watches the store for others.
+    void setMembers(Instant now, const std::vector<Member> &members);
+    /// Whether this daemon is chosen to watch the store for others.
     bool isWatcher() const
     {
         return m_isWatcher;
@@ -104,20 +107,25 @@
     /// Statuses that are due; none unless this daemon is a watcher.
     ControlActions tick(Instant now, bool isStoreReachable);
     /// Messages that pass a change of the store on; none unless this daemon is a watcher.
-    ControlActions share(const FedChange &fed) const;
+    ControlActions share(Instant now, const FedChange &fed) const;
     void receive(Instant now, const WatchStatus &status);
 
     /// What the store client has to know of the watchers that feed this daemon.
-    WatchFeedView view() const;
+    WatchFeedView view(Instant now) const;
 
 private:
     std::vector<const Member *> chooseWatchers(const std::vector<Member> &members) const;
     std::vector<std::string> sourcesOf(const Member &daemon, const std::vector<const Member *> &watchers) const;
     void raise(const std::string &kind, std::uint64_t revision);
+    bool isSettled(Instant now) const
+    {
+        return m_isWatcher && now - m_watcherSince >= m_settings.settleTime;
+    }
 
     const Identity m_self;
     const WatchFeedSettings m_settings;
     bool m_isWatcher = false;
+    Instant m_watcherSince{};
     std::vector<std::string> m_receivers;
     /// Other watchers, which exchange statuses: one that is cut from the store learns that it is behind.
     std::vector<std::string> m_otherWatchers;
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -437,7 +437,7 @@
         stepLeases(now, MembersEvent{m_members});
     }
     if (std::exchange(m_areFeaturesOutdated, false)) {
-        publishFeatures();
+        publishFeatures(now);
     }
     updateLeaseServers(now);
     updateFeed(now);
@@ -470,9 +470,9 @@
 void GatewayControlPlane::updateFeed(Instant now)
 {
     for (auto &it : m_hooks.takeChanges()) {
-        carryOut(now, m_feed.share({std::move(it), m_servers.sinceOutage(now)}));
+        carryOut(now, m_feed.share(now, {std::move(it), m_servers.sinceOutage(now)}));
     }
-    auto view = m_feed.view();
+    auto view = m_feed.view(now);
     if (view == m_feedView) {
         return;
     }
@@ -485,7 +485,7 @@
 }
 
 /// Called when a member or its build has changed.
-void GatewayControlPlane::publishFeatures()
+void GatewayControlPlane::publishFeatures(Instant now)
 {
     m_builds.reset();
     auto feeding = m_features.membersWith(PeerFeature::WatchFeed);
@@ -493,7 +493,7 @@
         return it.status != MemberStatus::Alive && it.status != MemberStatus::Suspect;
     };
     feeding.erase(std::remove_if(feeding.begin(), feeding.end(), isGone), feeding.end());
-    m_feed.setMembers(feeding);
+    m_feed.setMembers(now, feeding);
     // A build without this feature would decide a relayed request by its own configuration, also by an older one.
     const auto relays = m_features.membersWith(PeerFeature::RelayVersions);
     m_hooks.relaysChanged(relays);
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -117,7 +117,7 @@
     void updateLeaseServers(Instant now);
     void applyChanges(Instant now);
     void sendLoadReports(Instant now);
-    void publishFeatures();
+    void publishFeatures(Instant now);
     void receiveFeed(Instant now, const PeerEvent &event);
     void updateFeed(Instant now);
     void stepMembership(Instant now, const ControlEvent &event);
--- a/src/objectstore/watchfeed.cpp
+++ b/src/objectstore/watchfeed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include <cereal/types/string.hpp>
 
@@ -145,7 +146,8 @@
 {
 }
 
-/// One watcher of each failure domain in turn, VMs with more processor time first.
+/// One watcher of each failure domain in turn, VMs with more processor time first. Among equal ones the last names come
+/// first: leaders of services are chosen by the first ones.
 std::vector<const Member *> WatchFeed::chooseWatchers(const std::vector<Member> &members) const
 {
     std::map<std::string, std::vector<const Member *>> domains;
@@ -155,9 +157,7 @@
     std::vector<std::vector<const Member *>> ranked;
     for (auto &[domain, list] : domains) {
         std::sort(list.begin(), list.end(), [](const Member *a, const Member *b) {
-            const auto rankA = weightOf(a->identity.name, {});
-            const auto rankB = weightOf(b->identity.name, {});
-            return std::tie(b->cpuPercent, rankA, a->identity) < std::tie(a->cpuPercent, rankB, b->identity);
+            return std::tie(b->cpuPercent, b->identity) < std::tie(a->cpuPercent, a->identity);
         });
         ranked.push_back(std::move(list));
     }
@@ -195,9 +195,9 @@
     return names;
 }
 
-void WatchFeed::setMembers(const std::vector<Member> &members)
+void WatchFeed::setMembers(Instant now, const std::vector<Member> &members)
 {
-    m_isWatcher = false;
+    const bool wasWatcher = std::exchange(m_isWatcher, false);
     m_receivers.clear();
     m_otherWatchers.clear();
     if (members.size() < m_settings.smallestFleet) {
@@ -212,6 +212,7 @@
     if (!m_isWatcher) {
         return;
     }
+    m_watcherSince = wasWatcher ? m_watcherSince : now;
     for (const auto &it : members) {
         const auto &name = it.identity.name;
         if (name == m_self.name) {
@@ -252,7 +253,7 @@
 ControlActions WatchFeed::tick(Instant now, bool isStoreReachable)
 {
     ControlActions actions;
-    if (!m_isWatcher || now < m_nextStatusAt) {
+    if (!isSettled(now) || now < m_nextStatusAt) {
         return actions;
     }
     m_nextStatusAt = now + m_settings.statusInterval;
@@ -265,10 +266,10 @@
     return actions;
 }
 
-ControlActions WatchFeed::share(const FedChange &fed) const
+ControlActions WatchFeed::share(Instant now, const FedChange &fed) const
 {
     ControlActions actions;
-    if (!m_isWatcher || fed.change.era != m_era) {
+    if (!isSettled(now) || fed.change.era != m_era) {
         return actions;
     }
     const auto payload = encode(fed);
@@ -294,9 +295,9 @@
     }
 }
 
-WatchFeedView WatchFeed::view() const
+WatchFeedView WatchFeed::view(Instant now) const
 {
-    return {m_isWatcher, m_isWatcher ? Instant() : m_heardUntil, m_newest};
+    return {isSettled(now), m_isWatcher ? Instant() : m_heardUntil, m_newest};
 }
 
 }
--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -118,7 +118,7 @@
     }
     const auto exchange = std::exchange(m_held, nullptr);
     exchange->m_pipeline = this;
-    exchange->m_isReadAhead = isBehindOthers;
+    exchange->m_depth = m_entries.size() + 1;
     exchange->m_callerAddress = m_callerAddress;
     m_entries.push_back(exchange);
     m_hooks.onRequest(exchange);
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -58,7 +58,12 @@
     /// Earlier requests of the connection had not been answered when this one was started.
     bool isReadAhead() const
     {
-        return m_isReadAhead;
+        return m_depth > 1;
+    }
+    /// Requests of the connection that had been started and not answered when this one was, itself included.
+    std::size_t depth() const
+    {
+        return m_depth;
     }
     /// IPv4 address of the caller; empty when not available.
     const std::string &callerAddress() const
@@ -125,7 +130,7 @@
     std::string m_callerAddress;
     /// Null after the end.
     CallerPipeline *m_pipeline = nullptr;
-    bool m_isReadAhead = false;
+    std::size_t m_depth = 1;
     bool m_isRequestComplete = false;
     ByteBuffer m_requestBody{StreamBufferBytes};
 
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -65,6 +65,10 @@
     request->arrivedAt = exchange->readAt();
     request->method = exchange->method();
     request->caller = hashKey(exchange->callerAddress());
+    if (exchange->isReadAhead()) {
+        const auto labels = fmt::format("depth=\"{}\"", exchange->depth());
+        m_shared.metrics().counter("galenarock_pipelined_requests_total", labels).add();
+    }
     const std::weak_ptr<PendingRequest> weak = request; // avoids a reference cycle with the exchange
     exchange->onEnded = [this, weak](bool complete) {
         withRequest(weak, [&](const Pending &it) { handleExchangeEnd(it, complete); });
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -257,6 +257,7 @@
     const auto text = caller.received();
     EXPECT_LT(text.find("\r\n\r\nr-1"), text.find("\r\n\r\nr-2"));
     EXPECT_LT(text.find("\r\n\r\nr-2"), text.find("\r\n\r\nr-3"));
+    EXPECT_EQ(metrics.counter("galenarock_pipelined_requests_total", "depth=\"3\"").value(), 1U);
 }
 
 // Guards against a request that runs twice: behind a response that closes the connection its caller sends it again.
