Keep the process alive after unexpected errors, and accepted connections through a planned stop

Cause: no thread had a guard: an exception from one message, response or connection would have ended the whole daemon. And a stopping worker closed its listening socket with connections in it, whose requests their callers had sent already: the kernel resets them. An idle connection was closed with a request in its socket. Change: each control event, caller's connection, server event, response of the store, passed-on change and peer message runs guarded; what fails is logged (108) and dropped, a caller's connection is closed, a watched kind is listed again. A worker accepts what waits before it closes the socket, and closes no idle connection that has unread bytes.

--- a/src/daemon/controlthread.cpp
+++ b/src/daemon/controlthread.cpp
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "base/guard_p.h"
 #include "events_p.h"
 
 namespace Galenarock
@@ -85,14 +86,14 @@
     for (const auto &ring : m_rings) {
         for (int n = 0; n < MaxEventsPerSource && ring->tryPop(event); ++n) {
             m_events.add();
-            m_hooks.onEvent(now, event);
+            runGuarded("control event", [&] { m_hooks.onEvent(now, event); });
         }
     }
     if (now >= m_nextTick) {
         m_nextTick = now + TickInterval;
-        m_hooks.onEvent(now, TickEvent());
+        runGuarded("control tick", [&] { m_hooks.onEvent(now, TickEvent()); });
     }
-    m_hooks.onBatchEnd(now);
+    runGuarded("control batch", [&] { m_hooks.onBatchEnd(now); });
 }
 
 }
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -10,6 +10,7 @@
 #include <galenarock/ring.h>
 #include <galenarock/thread.h>
 
+#include "base/guard_p.h"
 #include "objectstore/answers_p.h"
 #include "objectstore/events_p.h"
 #include "objectstore/objectdelivery_p.h"
@@ -82,6 +83,7 @@
     void startVmList(Instant now);
     void start(std::unique_ptr<HttpCall> call);
     void finishCalls();
+    void restartWatch(const HttpCall &call);
     void finish(HttpCall &call);
     void cancel(HttpCall &call);
     bool hasQueued() const;
@@ -343,11 +345,25 @@
         auto &call = *m_calls.at(easy);
         call.setResult(message->data.result);
         curl_multi_remove_handle(m_multi, easy);
-        finish(call);
+        if (!runGuarded("response of the platform", [&] { finish(call); })) {
+            restartWatch(call);
+        }
         m_calls.erase(easy);
     }
 }
 
+/// After a response that could not be handled: lists the kind again.
+void StoreClient::Private::restartWatch(const HttpCall &call)
+{
+    const auto watch = m_watches.find(call.key.kind);
+    if (call.kind != CallKind::Watch || watch == m_watches.end()) {
+        return;
+    }
+    watch->second.inFlight = nullptr;
+    watch->second.restartList();
+    watch->second.nextAt = MonotonicClock::now() + WatchRetryDelay;
+}
+
 void StoreClient::Private::updateCallMetrics(const HttpCall &call)
 {
     std::string result = call.code == CURLE_OK ? std::to_string(call.status) : "failed";
@@ -501,7 +517,7 @@
         changes.swap(m_fedChanges);
     }
     for (auto &it : changes) {
-        applyChange(now, it);
+        runGuarded("change of another daemon", [&] { applyChange(now, it); });
     }
 }
 
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -15,6 +15,7 @@
 #include <galenarock/ring.h>
 #include <galenarock/thread.h>
 
+#include "base/guard_p.h"
 #include "peer/events_p.h"
 #include "peer/replaywindow_p.h"
 #include "peer/streams_p.h"
@@ -320,7 +321,9 @@
             }
             m_metrics.counter("galenarock_peer_received_total").add();
             m_metrics.counter("galenarock_peer_received_bytes_total").add(bytes.size());
-            m_handler(PeerEvent{std::move(frame.sender), frame.type, std::move(frame.payload)});
+            runGuarded("peer message", [&] {
+                m_handler(PeerEvent{std::move(frame.sender), frame.type, std::move(frame.payload)});
+            });
             return {};
         },
         [&](ErrorCode code, const std::string &detail) {
--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -11,6 +11,8 @@
 
 #include <fmt/format.h>
 
+#include "base/guard_p.h"
+
 namespace Galenarock
 {
 
@@ -18,7 +20,7 @@
 {
 constexpr std::size_t ReceiveBytes = 32'768;
 /// Connections that are accepted before other work is done.
-constexpr int MaxAcceptsPerRun = 64;
+constexpr std::size_t MaxAcceptsPerRun = 64;
 constexpr Duration StopIdleTimeout = seconds(1);
 /// After the last response the caller's bytes are read and discarded for this time, since closing a socket with unread
 /// bytes resets the connection and the caller may lose the response.
@@ -115,9 +117,12 @@
 
 void CallerListener::quiesce()
 {
-    if (m_listenFd >= 0) {
-        ::close(m_listenFd);
+    if (m_listenFd < 0) {
+        return;
     }
+    // Connections that the kernel has accepted would be reset with the requests that their callers have sent already.
+    acceptWaiting(MonotonicClock::now(), m_settings.connectionLimit);
+    ::close(m_listenFd);
     m_listenFd = -1;
 }
 
@@ -151,11 +156,21 @@
         close(*connection);
         return;
     }
-    if ((events & EPOLLIN) != 0) {
-        receive(now, *connection);
-    }
-    if (connection->fd >= 0) {
-        update(now, connection);
+    guard(*connection, [&] {
+        if ((events & EPOLLIN) != 0) {
+            receive(now, *connection);
+        }
+        if (connection->fd >= 0) {
+            update(now, connection);
+        }
+    });
+}
+
+/// Closes the connection when handling it fails unexpectedly, so that no other one is affected.
+void CallerListener::guard(Connection &connection, const std::function<void()> &body)
+{
+    if (!runGuarded("caller's connection", body)) {
+        runGuarded("end of a caller's connection", [&] { close(connection); });
     }
 }
 
@@ -262,11 +277,11 @@
                 continue;
             }
             connection->isChanged = false;
-            update(now, connection);
+            guard(*connection, [&] { update(now, connection); });
         }
     }
     if (m_isAcceptDue) {
-        accept(now);
+        acceptWaiting(now, MaxAcceptsPerRun);
     }
     if (now >= m_nextTimeoutCheck) {
         m_nextTimeoutCheck = now + TimeoutCheckInterval;
@@ -275,10 +290,10 @@
     }
 }
 
-void CallerListener::accept(Instant now)
+void CallerListener::acceptWaiting(Instant now, std::size_t most)
 {
     m_isAcceptDue = false;
-    for (int n = 0; n < MaxAcceptsPerRun && m_listenFd >= 0; ++n) {
+    for (std::size_t n = 0; n < most && m_listenFd >= 0; ++n) {
         if (m_connections.size() >= m_settings.connectionLimit) {
             watchListener(false);
             return;
@@ -325,13 +340,22 @@
     m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
 }
 
+/// Whether bytes of the caller have arrived that were not read yet, such as a request that crosses the end of the idle
+/// time.
+bool CallerListener::hasUnread(const Connection &connection)
+{
+    char byte = 0;
+    return !connection.isLingering && connection.pipeline.wantsInput()
+        && recv(connection.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void CallerListener::closeTimedOut(Instant now)
 {
     std::vector<ConnectionPtr> expired;
     for (const auto &[fd, it] : m_connections) {
         const bool isWaitingForServer = it->pipeline.depth() > 0 && it->pipeline.output().empty();
         const auto timeout = it->isLingering ? LingerTime : idleTimeout();
-        if (!isWaitingForServer && now - it->activeAt >= timeout) {
+        if (!isWaitingForServer && now - it->activeAt >= timeout && !hasUnread(*it)) {
             expired.push_back(it);
         }
     }
--- a/src/proxy/callerlistener_p.h
+++ b/src/proxy/callerlistener_p.h
@@ -83,7 +83,7 @@
     class Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    void accept(Instant now);
+    void acceptWaiting(Instant now, std::size_t most);
     void watchListener(bool isWatched);
     void add(Instant now, int fd, const std::string &callerAddress);
     void receive(Instant now, Connection &connection);
@@ -93,6 +93,8 @@
     void watch(Connection &connection, std::uint32_t events) const;
     void beginLingering(Instant now, Connection &connection);
     void close(Connection &connection);
+    void guard(Connection &connection, const std::function<void()> &body);
+    static bool hasUnread(const Connection &connection);
     void closeTimedOut(Instant now);
     Duration idleTimeout() const;
 
--- a/src/proxy/tests/plannedstoptest.cpp
+++ b/src/proxy/tests/plannedstoptest.cpp
@@ -109,3 +109,40 @@
     EXPECT_NE(caller.received().find("\"stopping\""), std::string::npos) << caller.received();
     EXPECT_EQ(attempts(), 1U);
 }
+
+// Guards against resetting connections that the kernel has accepted, with their requests in it, when a stopping VM
+// closes its listening socket (LOST).
+TEST_F(PlannedStopTest, ConnectionsThatWaitToBeAcceptedAreServed)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; }, RawServer::AfterAnswer::Close);
+    setRoutes({server.address()}, Distribution::Balanced);
+    listen();
+    RawCaller first(worker.address());
+    RawCaller second(worker.address());
+    first.send(Post);
+    second.send(Post);
+    stopWithin(seconds(60));
+    worker.quiesce();
+    ASSERT_TRUE(isAnswered(first));
+    EXPECT_EQ(first.received().rfind("HTTP/1.1 200", 0), 0U) << first.received();
+    ASSERT_TRUE(isAnswered(second));
+    EXPECT_EQ(second.received().rfind("HTTP/1.1 200", 0), 0U) << second.received();
+}
+
+// Guards against an idle connection that is closed with a request in it that was not read yet.
+TEST_F(PlannedStopTest, RequestThatCrossesTheEndOfTheIdleTimeIsServed)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({server.address()}, Distribution::Balanced);
+    listen();
+    RawCaller caller(worker.address());
+    ASSERT_TRUE(runUntil([&] { return worker.connectionCount() == 1; }));
+    stopWithin(seconds(60));
+    worker.closeIdle();
+    for (int n = 0; n < 8; ++n) {
+        stall(); // together longer than the idle time of a stopping VM
+    }
+    caller.send(Post);
+    ASSERT_TRUE(isAnswered(caller));
+    EXPECT_EQ(caller.received().rfind("HTTP/1.1 200", 0), 0U) << caller.received();
+}
--- a/src/proxy/worker.cpp
+++ b/src/proxy/worker.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "base/guard_p.h"
 #include "events_p.h"
 
 namespace Galenarock
@@ -129,9 +130,9 @@
     handleEvents(events.data(), n, WakeTag);
     handleEvents(events.data(), n, UpstreamTag);
     const auto now = MonotonicClock::now();
-    m_upstream.run(now);
-    m_handler.run(now);
-    m_listener.run(now);
+    runGuarded("server connections", [&] { m_upstream.run(now); });
+    runGuarded("requests", [&] { m_handler.run(now); });
+    runGuarded("callers' connections", [&] { m_listener.run(now); });
     logLag(wokenAt, n);
 }
 
@@ -147,7 +148,7 @@
         if (tag == CallerTag) {
             m_listener.handleSocket(MonotonicClock::now(), fd, event.events);
         } else if (tag == UpstreamTag) {
-            m_upstream.handleSocket(fd, event.events);
+            runGuarded("server connection", [&] { m_upstream.handleSocket(fd, event.events); });
         } else {
             handleWake();
         }
