--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -106,7 +106,7 @@
             return;
         }
         if (peer->type == FeatureMessage::Statement) {
-            carryOut(now, m_features.receive(*peer));
+            carryOut(m_features.receive(*peer));
             m_areFeaturesOutdated = true;
             return;
         }
@@ -127,8 +127,8 @@
         serversChanged();
     }
     joinFleet(now);
-    carryOut(now, m_features.tick(now));
-    carryOut(now, m_feed.tick(now, m_hooks.isStoreReachable()));
+    carryOut(m_features.tick(now));
+    carryOut(m_feed.tick(now, m_hooks.isStoreReachable()));
     const bool reachesServers = m_hooks.reachesServers();
     for (auto &[service, controller] : m_leases) {
         controller.setReachesServers(reachesServers);
@@ -191,7 +191,7 @@
     m_storeEra = era;
     m_feed.setEra(era);
     for (auto &[service, controller] : m_leases) {
-        carryOut(now, controller.step(now, StoreEraEvent{era}));
+        carryOut(controller.step(now, StoreEraEvent{era}));
     }
     if (isRestored) {
         m_servers.storeRestored(now);
@@ -257,7 +257,7 @@
     for (auto &[service, controller] : m_leases) {
         const auto revision = m_servers.revision(service);
         if (std::exchange(m_leaseServerRevisions[service], revision) != revision) {
-            carryOut(now, controller.setServers(now, m_servers.leaseServers(service)));
+            carryOut(controller.setServers(now, m_servers.leaseServers(service)));
         }
     }
 }
@@ -277,10 +277,10 @@
         settings.callsPerSecond = LeaseCallsPerCore * m_settings.cpuPercent / 100;
         settings.renewEvery = std::min(settings.renewEvery, settings.grantDuration / 3);
         auto &controller = m_leases.emplace(it.name, LeaseController(settings)).first->second;
-        carryOut(now, controller.step(now, MembersEvent{m_members}));
-        carryOut(now, controller.step(now, StoreEraEvent{m_storeEra}));
+        carryOut(controller.step(now, MembersEvent{m_members}));
+        carryOut(controller.step(now, StoreEraEvent{m_storeEra}));
         m_leaseServerRevisions[it.name] = m_servers.revision(it.name);
-        carryOut(now, controller.setServers(now, m_servers.leaseServers(it.name)));
+        carryOut(controller.setServers(now, m_servers.leaseServers(it.name)));
     }
 }
 
@@ -374,7 +374,7 @@
 void GatewayControlPlane::stepMembership(Instant now, const ControlEvent &event)
 {
     if (!m_isPeerKeyNeeded) {
-        carryOut(now, m_membership.step(now, event));
+        carryOut(m_membership.step(now, event));
     }
 }
 
@@ -386,21 +386,21 @@
     updateLeaseServers(now);
     bool isHandedOver = true;
     for (auto &[service, it] : m_leases) {
-        carryOut(now, it.step(now, event));
+        carryOut(it.step(now, event));
         isHandedOver = isHandedOver && it.isHandedOver();
     }
     m_isHandedOver.store(m_isStopping && isHandedOver, std::memory_order_release);
 }
 
-void GatewayControlPlane::carryOut(Instant now, LeaseActions actions)
+void GatewayControlPlane::carryOut(LeaseActions actions)
 {
     for (const auto &it : actions.calls) {
         m_hooks.callServer(it);
     }
-    carryOut(now, std::move(actions.control));
+    carryOut(std::move(actions.control));
 }
 
-void GatewayControlPlane::carryOut(Instant now, ControlActions actions)
+void GatewayControlPlane::carryOut(ControlActions actions)
 {
     for (auto &action : actions) {
         if (const auto *read = std::get_if<ReadObjectAction>(&action)) {
@@ -470,7 +470,7 @@
 void GatewayControlPlane::updateFeed(Instant now)
 {
     for (auto &it : m_hooks.takeChanges()) {
-        carryOut(now, m_feed.share(now, {std::move(it), m_servers.sinceOutage(now)}));
+        carryOut(m_feed.share(now, {std::move(it), m_servers.sinceOutage(now)}));
     }
     auto view = m_feed.view(now);
     if (view == m_feedView) {
@@ -518,7 +518,7 @@
     for (const auto &it : m_hooks.takeLoads()) {
         const auto found = m_leases.find(it.service);
         if (found != m_leases.end()) {
-            carryOut(now, found->second.addLoad(now, it));
+            carryOut(found->second.addLoad(now, it));
         }
     }
 }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -122,8 +122,8 @@
     void updateFeed(Instant now);
     void stepMembership(Instant now, const ControlEvent &event);
     void stepLeases(Instant now, const ControlEvent &event);
-    void carryOut(Instant now, LeaseActions actions);
-    void carryOut(Instant now, ControlActions actions);
+    void carryOut(LeaseActions actions);
+    void carryOut(ControlActions actions);
     void refreshLeases(Instant now);
     void publishStatus();
     nlohmann::json builds() const;
