Log each fencing token that a server accepts, and how long a released range may still be held

The log had only the first grant of a series, so a trace could not tell which token a server had last accepted, nor whether a range went on while an earlier grant without an answer could still be carried out. Processes are named with the time of their start.

--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -291,8 +291,9 @@
     }
     m_isTableStale = true;
     decide(LeaseEvents::Released, slice.range,
-           fmt::format("{} {}, next {}", slice.holder.name, isAnswered ? "released" : "did not respond",
-                       slice.target->name));
+           fmt::format("{} {}, next {}, fencing token {}; it may hold the range for {} ms more", toString(slice.holder),
+                       isAnswered ? "released" : "did not respond", slice.target->name, slice.fencingToken,
+                       duration_cast<milliseconds>(std::max(until, m_now) - m_now).count()));
     slice.holder = *slice.target;
     slice.target.reset();
     dropToken(slice);
@@ -336,10 +337,11 @@
 {
     switch (event.status) {
     case LeaseCallStatus::Accepted:
-        if (!slice.isGranted) {
-            m_isTableStale = true;
+        m_isTableStale = m_isTableStale || !slice.isGranted;
+        if (!slice.isGranted || event.call.connection == 0) {
             decide(LeaseEvents::Granted, slice.range,
-                   fmt::format("{} with fencing token {}", slice.holder.name, event.call.fencingToken));
+                   fmt::format("{} with fencing token {}{}", toString(slice.holder), event.call.fencingToken,
+                               slice.unansweredUntil > m_now ? ", after grants without an answer" : ""));
         }
         m_leadProof.accepted(event.endedAt);
         slice.isGranted = true;
