Send a grant only over a connection on which the server has answered

Cause: the first call on a new connection to a busy server waits there unread, and the server counts the grant from when it reads it. The leader counted it from the end of the call, relying on the reset of its connection, which a cut keeps from the server. In the trace the grant is sent at 16.35 s, given up at 16.60 s, given to another server at 18.62 s and taken by the first at 19.14 s.

Change: a new connection begins with the release of a key that the server does not hold. It changes nothing, so it may wait 750 ms; a grant follows only after its reply, and has not been sent when there is none.

Evidence: on the former code GrantIsNotSentOverAConnectionThatTheServerDoesNotRead (the grant was sent: Unknown), OneCheckServesAllGrantsOverItsConnection and ConnectionInPlaceOfAClosedOneIsChecked failed.

--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -158,6 +159,9 @@
     /// LeaseReplyEvent::connection of the call in which the server accepted the fencing token; 0 if it has not yet. The
     /// call is then not sent over a connection opened later, at whose other end may be a later process of the server.
     std::uint64_t connection = 0;
+    /// Grants: a range that the server does not hold. It is released over a new connection before the grant goes over
+    /// it, to see that the server reads what arrives there. Empty if no such range is known.
+    std::optional<SliceRange> unheldRange;
 };
 
 enum class LeaseCallStatus : std::uint8_t
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t GrantTimeoutMs = 250;
 static_assert(milliseconds(GrantTimeoutMs) <= DiscardAfter, "LeaseSettings::callLifetime assumes this");
 constexpr std::int64_t ConnectTimeoutMs = 250;
+/// Longer than for a grant, since the check changes nothing, and shorter than the rest of the holder's last grant.
+constexpr std::int64_t CheckTimeoutMs = 750;
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
 constexpr std::int64_t ReleaseTimeoutMs = 3'000;
@@ -34,6 +36,9 @@
     LeaseHttpCall http;
     unsigned status = 0;
     std::vector<HeaderField> headers;
+    /// The call found a new connection and waits until that is checked.
+    bool needsCheck = false;
+    LeaseHttpCall check;
 };
 
 LeaseCaller::LeaseCaller(const GatewayDialect &dialect, Metrics &metrics, SharedServerReach &reach, ReplyHook onReply)
@@ -59,38 +64,66 @@
     }
 }
 
+bool LeaseCaller::isTooLate(PendingCall &pending)
+{
+    auto &reply = pending.reply;
+    reply.sentAt = MonotonicClock::now();
+    if (reply.sentAt <= reply.call.sendBefore) {
+        return false;
+    }
+    reply.status = LeaseCallStatus::Late;
+    return true;
+}
+
 void LeaseCaller::start(UpstreamClient &upstream, const LeaseCall &call)
 {
     const auto pending = std::make_shared<PendingCall>();
     pending->reply = {call, MonotonicClock::now(), LeaseCallStatus::NotSent, {}};
-    if (pending->reply.sentAt > call.sendBefore) {
-        m_metrics.counter("galenarock_orders_total", "result=\"too-late\"").add();
-        pending->reply.status = LeaseCallStatus::Late;
+    if (isTooLate(*pending)) {
         pending->reply.detail = "the call waited too long in this process";
-        m_onReply(pending->reply);
+        report(*pending);
         return;
     }
-    if (call.connection != 0 && call.connection != m_connections[call.address]) {
+    const auto &connections = m_connections[call.address];
+    if (call.connection != 0 && call.connection != connections.latest) {
         pending->reply.status = LeaseCallStatus::Reconnected;
-        finish(*pending, {});
+        report(*pending);
         return;
     }
     pending->http = m_dialect.encodeLeaseCall(call);
+    if (call.unheldRange && call.connection == 0 && connections.idle == 0) {
+        checkNewConnection(upstream, pending);
+        return;
+    }
+    send(upstream, pending);
+}
+
+AttemptRequest LeaseCaller::requestFor(const LeaseCall &call, const LeaseHttpCall &http)
+{
     AttemptRequest request;
-    request.method = pending->http.method;
-    request.url = "http://" + call.address + pending->http.path;
-    request.headerLines = pending->http.headerLines;
+    request.method = http.method;
+    request.url = "http://" + call.address + http.path;
+    request.headerLines = http.headerLines;
     request.headerLines.emplace_back("Expect:");
-    request.body = pending->http.body.data();
-    request.bodySize = static_cast<std::int64_t>(pending->http.body.size());
+    request.body = http.body.data();
+    request.bodySize = static_cast<std::int64_t>(http.body.size());
     request.connectTimeoutMs = ConnectTimeoutMs;
     request.discardsUnsent = true;
+    return request;
+}
+
+void LeaseCaller::send(UpstreamClient &upstream, const Pending &pending)
+{
+    const auto &call = pending->reply.call;
+    auto request = requestFor(call, pending->http);
     // The range goes to another server when a release is answered. An extra response to an earlier call can arrive on a
     // kept connection, and responses do not name their call.
     const bool isRelease = call.command == LeaseCommand::Release;
     request.timeoutMs = isRelease ? ReleaseTimeoutMs : GrantTimeoutMs;
     request.needsNewConnection = isRelease;
     request.keepsConnection = !isRelease;
+    auto &idle = m_connections[call.address].idle;
+    idle -= !isRelease && idle > 0 ? 1 : 0;
     AttemptHooks hooks;
     hooks.beforeSend = [this, pending](bool isNewConnection) {
         return mayGoOver(*pending, isNewConnection);
@@ -103,7 +136,11 @@
     hooks.onData = [](const char *, std::size_t) {
         return DataResult::Taken;
     };
-    hooks.onDone = [this, pending](const AttemptResult &result) {
+    hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
+        if (std::exchange(pending->needsCheck, false)) {
+            checkNewConnection(upstream, pending);
+            return;
+        }
         finish(*pending, result);
     };
     upstream.start(std::move(request), std::move(hooks));
@@ -115,27 +152,91 @@
 bool LeaseCaller::mayGoOver(PendingCall &pending, bool isNewConnection)
 {
     auto &reply = pending.reply;
-    auto &connection = m_connections[reply.call.address];
-    reply.sentAt = MonotonicClock::now();
-    if (reply.sentAt > reply.call.sendBefore) {
-        reply.status = LeaseCallStatus::Late;
+    auto &connections = m_connections[reply.call.address];
+    if (isTooLate(pending)) {
         return false;
     }
-    if (isNewConnection && reply.call.connection != 0) {
+    if (!isNewConnection || reply.call.command == LeaseCommand::Release) {
+        reply.connection = connections.latest;
+        return true;
+    }
+    connections.idle = 0;
+    if (reply.call.connection != 0) {
         logEvent(LeaseEvents::CallReconnected, "{} needs a new connection and a new token", describe(reply.call));
         reply.status = LeaseCallStatus::Reconnected;
         return false;
     }
-    connection += isNewConnection && reply.call.command == LeaseCommand::Grant ? 1 : 0;
-    reply.connection = connection;
+    if (reply.call.unheldRange) {
+        pending.needsCheck = true;
+        return false;
+    }
+    reply.connection = ++connections.latest;
     return true;
 }
 
+/// A busy server may read the first call on a connection long after it has arrived, and then counts the grant from that
+/// time. If a cut keeps the end of the connection from the server meanwhile, the time at which the call was given up
+/// says nothing about the end of the grant. So a grant goes only over a connection on which the server has answered.
+void LeaseCaller::checkNewConnection(UpstreamClient &upstream, const Pending &pending)
+{
+    auto check = pending->reply.call;
+    check.command = LeaseCommand::Release;
+    check.range = *check.unheldRange;
+    pending->check = m_dialect.encodeLeaseCall(check);
+    auto request = requestFor(check, pending->check);
+    request.timeoutMs = CheckTimeoutMs;
+    request.needsNewConnection = true;
+    AttemptHooks hooks;
+    hooks.beforeSend = [this, pending](bool) {
+        ++m_connections[pending->reply.call.address].latest;
+        return true;
+    };
+    hooks.onHead = [pending](unsigned status, std::vector<HeaderField>) {
+        pending->status = status;
+        return true;
+    };
+    hooks.onData = [](const char *, std::size_t) {
+        return DataResult::Taken;
+    };
+    hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
+        finishCheck(upstream, pending, result);
+    };
+    upstream.start(std::move(request), std::move(hooks));
+}
+
+void LeaseCaller::finishCheck(UpstreamClient &upstream, const Pending &pending, const AttemptResult &result)
+{
+    auto &reply = pending->reply;
+    if (!result.complete) {
+        AttemptResult notSent = result;
+        notSent.sent = false;
+        finish(*pending, notSent);
+        return;
+    }
+    LeaseReplyEvent checked = reply;
+    m_dialect.decodeLeaseReply(
+        pending->status, [](const char *) { return std::string_view(); }, checked);
+    if (checked.status != LeaseCallStatus::Accepted) {
+        reply.status = LeaseCallStatus::Refused;
+        reply.detail = fmt::format("HTTP status {} to the first call on a new connection", pending->status);
+        report(*pending);
+        return;
+    }
+    ++m_connections[reply.call.address].idle;
+    m_reach.answered(MonotonicClock::now());
+    if (isTooLate(*pending)) {
+        reply.detail = "the server read the first call on a new connection late";
+        report(*pending);
+        return;
+    }
+    send(upstream, pending);
+}
+
 void LeaseCaller::finish(PendingCall &pending, const AttemptResult &result)
 {
     auto &reply = pending.reply;
-    reply.endedAt = MonotonicClock::now();
     if (result.complete) {
+        m_connections[reply.call.address].idle += reply.call.command == LeaseCommand::Grant ? 1 : 0;
         m_reach.answered(MonotonicClock::now());
         m_dialect.decodeLeaseReply(
             pending.status, [&](const char *name) { return fieldOf(pending.headers, name); }, reply);
@@ -150,6 +251,13 @@
         logEvent(LeaseEvents::CallUnanswered, "{}, {} after {} ms: {}", describe(reply.call),
                  result.sent ? "given up" : "not sent", age, reply.detail);
     }
+    report(pending);
+}
+
+void LeaseCaller::report(PendingCall &pending)
+{
+    auto &reply = pending.reply;
+    reply.endedAt = MonotonicClock::now();
     constexpr const char *results[] = {"accepted", "outdated", "refused", "not-sent", "unknown", "late", "reconnected"};
     m_metrics
         .counter("galenarock_orders_total",
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -18,8 +18,8 @@
 GatewayDialect testDialect()
 {
     GatewayDialect dialect;
-    dialect.encodeLeaseCall = [](const LeaseCall &) {
-        return LeaseHttpCall{"POST", "/grant", {}, "{}"};
+    dialect.encodeLeaseCall = [](const LeaseCall &call) {
+        return LeaseHttpCall{"POST", call.command == LeaseCommand::Grant ? "/grant" : "/release", {}, "{}"};
     };
     dialect.decodeLeaseReply = [](unsigned status, const HeaderLookup &, LeaseReplyEvent &reply) {
         reply.status = status == 200 ? LeaseCallStatus::Accepted : LeaseCallStatus::Refused;
@@ -134,6 +134,11 @@
         it.connection = connection;
         it.address = address;
         it.sendBefore = sendBefore;
+        return call(it);
+    }
+
+    LeaseReplyEvent call(const LeaseCall &it)
+    {
         caller.call(it);
         std::unique_lock lock(mutex);
         changed.wait(lock, [&] { return reply.has_value(); });
@@ -147,6 +152,16 @@
         return MonotonicClock::now() + seconds(60);
     }
 
+    /// A grant to a server that is known not to hold some keys.
+    static LeaseCall checkedGrant(const std::string &address)
+    {
+        LeaseCall it;
+        it.address = address;
+        it.sendBefore = later();
+        it.unheldRange = SliceRange{1, 2};
+        return it;
+    }
+
     std::mutex mutex;
     std::condition_variable changed;
     std::optional<LeaseReplyEvent> reply;
@@ -314,3 +329,70 @@
     EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Refused);
     EXPECT_EQ(server.requests(), 2);
 }
+
+// Guards against a grant that waits unread on a new connection to a busy server. The server counts it from the time at
+// which it reads it, and behind a cut does not see that its sender has given it up and granted the keys to another
+// server (OWNER).
+TEST_F(LeaseCallerTest, GrantIsNotSentOverAConnectionThatTheServerDoesNotRead)
+{
+    std::mutex received;
+    std::string text;
+    RawServer server([&](int, const std::string &request) {
+        const std::lock_guard lock(received);
+        text += request;
+        return "HTTP/1.1 200 OK\r\n"; // never complete
+    });
+    const auto reply = call(checkedGrant(server.address()));
+    EXPECT_EQ(reply.status, LeaseCallStatus::NotSent);
+    const std::lock_guard lock(received);
+    EXPECT_NE(text.find("/release"), std::string::npos) << text;
+    EXPECT_EQ(text.find("/grant"), std::string::npos) << text;
+}
+
+// Guards against a check before each grant, or a connection for each check.
+TEST_F(LeaseCallerTest, OneCheckServesAllGrantsOverItsConnection)
+{
+    std::mutex received;
+    std::string paths;
+    RawServer server([&](int, const std::string &request) {
+        const std::lock_guard lock(received);
+        paths += request.substr(0, request.find(" HTTP")) + ";";
+        return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    });
+    auto grant = checkedGrant(server.address());
+    const auto first = call(grant);
+    ASSERT_EQ(first.status, LeaseCallStatus::Accepted);
+    grant.connection = first.connection;
+    EXPECT_EQ(call(grant).status, LeaseCallStatus::Accepted);
+    grant.connection = 0;
+    EXPECT_EQ(call(grant).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(server.connections(), 1);
+    const std::lock_guard lock(received);
+    EXPECT_EQ(paths, "POST /release;POST /grant;POST /grant;POST /grant;");
+}
+
+// Guards against a grant over a connection that was opened unseen in place of a kept one, which the server has closed.
+TEST_F(LeaseCallerTest, ConnectionInPlaceOfAClosedOneIsChecked)
+{
+    std::mutex received;
+    std::string paths;
+    RawServer server([&](int, const std::string &request) {
+        const std::lock_guard lock(received);
+        paths += request.substr(0, request.find(" HTTP")) + ";";
+        const bool isGrant = request.find("/grant") != std::string::npos;
+        return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n") + (isGrant ? "Connection: close\r\n" : "")
+            + "\r\n";
+    });
+    EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Accepted);
+    const std::lock_guard lock(received);
+    EXPECT_EQ(paths, "POST /release;POST /grant;POST /release;POST /grant;");
+}
+
+// Guards against a grant to another server that listens at the address now.
+TEST_F(LeaseCallerTest, GrantIsNotSentIfTheCheckIsRefused)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"; });
+    EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Refused);
+    EXPECT_EQ(server.requests(), 1);
+}
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -110,6 +110,8 @@
     void sendDueCalls();
     void sendDueCall(LeaseSlice &slice);
     void sendGrant(LeaseSlice &slice);
+    /// Keys of which the server holds none; empty if it may hold all.
+    std::optional<SliceRange> unheldRange(const Identity &server) const;
     bool isLeadProven(LeaseSlice &slice);
     void takeToken(LeaseSlice &slice);
     void sendRelease(LeaseSlice &slice);
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -218,9 +218,24 @@
     call.grantDuration = m_settings.grantDuration;
     call.releaseProof = slice.releaseProof;
     call.address = holder->address;
+    call.unheldRange = unheldRange(slice.holder);
     send(slice, std::move(call));
 }
 
+/// The narrowest range, so that a late release of it harms little if the server has got the range meanwhile.
+std::optional<SliceRange> LeaseController::Private::unheldRange(const Identity &server) const
+{
+    const auto &slices = m_slices.all();
+    const auto it = std::find_if(slices.begin(), slices.end(), [&](const LeaseSlice &slice) {
+        return !slice.holder.name.empty() && slice.holder.name != server.name
+            && (!slice.target || slice.target->name != server.name);
+    });
+    if (it == slices.end()) {
+        return std::nullopt;
+    }
+    return SliceRange{it->range.first, it->range.first + m_settings.minRangeWidth - 1};
+}
+
 /// Whether a call may go to a process that this leader has not granted keys to before. It has seen no token of a
 /// successor, so it would accept one of a leader that has lost the lead. An accepted token needs no proof, since it
 /// goes only to the process that has accepted it.
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -385,6 +385,9 @@
     auto &daemon = daemons[index];
     const auto boot = daemon.identity.boot;
     ++daemon.calls;
+    const auto *called = serverAt(call.address);
+    const bool isUnheld = call.unheldRange && called && !called->server.holds(now, call.unheldRange->first);
+    wrongUnheldRanges += call.command == LeaseCommand::Grant && !isUnheld ? 1 : 0;
     const auto sentAt = std::max(now, daemon.callsDoneAt);
     auto reply = std::make_shared<LeaseReplyEvent>(LeaseReplyEvent{call, sentAt});
     const auto answer = [this, index, boot, reply](Duration delay) {
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -140,6 +140,8 @@
     /// First case of two holders of a position or of a fencing token that did not increase; empty for none.
     std::string violation;
     std::size_t releasedRanges = 0;
+    /// Grants that name no range which their server does not hold, or one that it does hold.
+    std::size_t wrongUnheldRanges = 0;
 
 private:
     void step();
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -280,6 +280,18 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// Guards against a check of a new connection that takes keys away from the server, and against a grant without one.
+TEST(LeasesTest, GrantsNameARangeThatTheirServerDoesNotHold)
+{
+    const auto simulation = stableSimulation();
+    simulation->addLoad({{simulation->positions()[7], 200}});
+    simulation->setLeaving(3);
+    simulation->restartServer(0);
+    simulation->run(seconds(5));
+    EXPECT_EQ(simulation->wrongUnheldRanges, 0U);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+}
+
 // A leader is suspended for less than a detected pause while a grant is under way, so that its kernel sends the bytes
 // again 420 ms after the first time. Guards against counting the grant from the time of sending (OWNER).
 TEST(LeasesTest, GrantThatArrivesWhileItsSenderIsSuspendedHasNoSecondHolder)
