Keep the beginning of long responses that wait behind others

What callers saw: in a pipeline, a response of more than 64 KiB behind others could lack its first 64 KiB and look complete (MIXED).

Cause: startStreaming() moved what was collected to the exchange and did not look whether it was taken; a connection that already holds 256 KiB for responses that wait their turn takes nothing.

Change: a response begins to stream only when the connection has room for what was collected; until then its server waits.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -27,14 +27,22 @@
     changed();
 }
 
-bool Exchange::appendResponse(const char *bytes, std::size_t n)
+bool Exchange::hasRoom(std::size_t n) const
 {
     if (hasEnded()) {
-        return true;
+        return true; // the bytes are discarded
     }
-    if (m_responseBody.freeSpace() < n || !m_pipeline->mayHold(*this, n)) {
+    return m_responseBody.freeSpace() >= n && m_pipeline->mayHold(*this, n);
+}
+
+bool Exchange::appendResponse(const char *bytes, std::size_t n)
+{
+    if (!hasRoom(n)) {
         return false;
     }
+    if (hasEnded()) {
+        return true;
+    }
     m_responseBody.append(bytes, n);
     changed();
     return true;
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -99,7 +99,9 @@
     void respond(unsigned status, std::vector<HeaderField> headers, std::string body);
     /// Starts a streamed response; `length` is empty when not known.
     void startResponse(unsigned status, std::vector<HeaderField> headers, std::optional<std::uint64_t> length);
-    /// Appends to a streamed response. Returns false and appends nothing when the buffer has no room for all `n` bytes.
+    /// Whether a streamed response can take `n` more bytes now. If not, onResponseDrained is called when it may.
+    bool hasRoom(std::size_t n) const;
+    /// Appends to a streamed response. Returns false and appends nothing when there is no room for all `n` bytes.
     /// Discards the bytes and returns true when the exchange has ended.
     bool appendResponse(const char *bytes, std::size_t n);
     void finishResponse();
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -63,7 +63,8 @@
     std::vector<std::string> makeRoutedHeaders(const PendingRequest &request) const;
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
-    void startStreaming(const Pending &request);
+    bool startStreaming(const Pending &request);
+    static bool mayCollect(const PendingRequest &request, std::size_t n);
     // requests through other VMs (relaying.cpp)
     /// Reads whether another VM relays the request, and what it tells.
     void readRelay(PendingRequest &request, const Exchange &exchange) const;
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -112,6 +112,14 @@
     return true;
 }
 
+/// Whether `n` more bytes of the response may be kept back from the caller. Without a route table only bodies with a
+/// known length are, see handleHead().
+bool RequestHandler::mayCollect(const PendingRequest &request, std::size_t n)
+{
+    const bool isShort = request.responseBody.size() + n <= CollectedResponseBytes;
+    return !request.rule || isShort;
+}
+
 DataResult RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
 {
     // The body of a response that is not passed on only matters because its end keeps the connection usable.
@@ -119,14 +127,12 @@
         request->discardedBytes += n;
         return request->discardedBytes > MaxDiscardedBytes ? DataResult::Abort : DataResult::Taken;
     }
-    if (!request->streamsResponse) {
+    if (!request->streamsResponse && mayCollect(*request, n)) {
         request->responseBody.append(bytes, n);
-        if (request->rule && request->responseBody.size() > CollectedResponseBytes) {
-            startStreaming(request);
-        }
         return DataResult::Taken;
     }
-    if (request->exchange->appendResponse(bytes, n)) {
+    const bool isStreaming = request->streamsResponse || startStreaming(request);
+    if (isStreaming && request->exchange->appendResponse(bytes, n)) {
         return DataResult::Taken;
     }
     request->receivingPaused = true;
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -387,16 +387,21 @@
     return true;
 }
 
-void RequestHandler::startStreaming(const Pending &request)
+/// Begins to pass on a response that was collected so far; false while the caller's connection has no room for that.
+bool RequestHandler::startStreaming(const Pending &request)
 {
-    request->streamsResponse = true;
     const std::weak_ptr<PendingRequest> weak = request;
     request->exchange->onResponseDrained = [this, weak] {
         withRequest(weak, [&](const Pending &it) { scheduleResume(it, it->receivingPaused); });
     };
+    if (!request->exchange->hasRoom(request->responseBody.size())) {
+        return false;
+    }
+    request->streamsResponse = true;
     request->exchange->startResponse(request->responseStatus, request->responseHeaders, {});
     request->exchange->appendResponse(request->responseBody.data(), request->responseBody.size());
     request->responseBody.clear();
+    return true;
 }
 
 void RequestHandler::handleRoutedDone(const Pending &request, const AttemptResult &result)
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "proxy/tests/workerfixture.h"
 
 using namespace Galenarock;
@@ -260,6 +262,54 @@
     EXPECT_EQ(metrics.counter("galenarock_pipelined_requests_total", "depth=\"3\"").value(), 1U);
 }
 
+// Guards against a response behind others whose beginning is lost: it was dropped when the connection held too many
+// bytes for the responses that wait their turn, and the rest looked complete (MIXED).
+TEST_F(WorkerTest, LongPipelinedResponsesArriveWhole)
+{
+    constexpr std::size_t length = 100'000;
+    constexpr int count = 7;
+    std::atomic<int> answered{0};
+    const auto script = [&](int, const std::string &request) {
+        const auto id = request.substr(request.find("Request: ") + 9, 3);
+        for (int n = 0; n < 5'000 && id == "r-1" && answered < count - 1; ++n) {
+            const timespec pause{0, 1'000'000};
+            nanosleep(&pause, nullptr);
+        }
+        ++answered;
+        return fmt::format("HTTP/1.1 200 OK\r\nRequest: {}\r\nContent-Length: {}\r\n\r\n{}", id, length,
+                           std::string(length, static_cast<char>('A' + id[2] - '1')));
+    };
+    std::vector<std::unique_ptr<RawServer>> servers;
+    std::vector<std::string> addresses;
+    for (int n = 0; n < count; ++n) {
+        servers.push_back(std::make_unique<RawServer>(script));
+        addresses.push_back(servers.back()->address());
+    }
+    setRoutes(addresses, Distribution::Balanced);
+    listen();
+    RawCaller caller(worker.address());
+    std::string requests;
+    for (int n = 1; n <= count; ++n) {
+        requests += fmt::format("GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: r-{}\r\n\r\n", n);
+    }
+    caller.send(requests);
+    EXPECT_TRUE(runUntil([&] {
+        caller.received();
+        return shared.inFlight().load() == 0 && answered == count;
+    }));
+    for (int n = 0; n < 100; ++n) {
+        worker.runOnce();
+        caller.received();
+    }
+    const auto text = caller.received();
+    for (int n = 0; n < count; ++n) {
+        // Letters of the heads are few.
+        const auto found = std::count(text.begin(), text.end(), static_cast<char>('A' + n));
+        EXPECT_GE(found, static_cast<std::ptrdiff_t>(length)) << n;
+        EXPECT_LT(found, static_cast<std::ptrdiff_t>(length + 100)) << n;
+    }
+}
+
 // Guards against a request that runs twice: behind a response that closes the connection its caller sends it again.
 TEST_F(WorkerTest, PipelinedOrdersRunOneAfterTheOther)
 {
