Bound the heads of a response to 64 KiB

A faulty server could send heads, interim heads or trailers of any length, and each attempt kept all fields (libcurl of Debian ends a response at 300 KiB of heads). The attempt fails beyond 64 KiB now, all heads of the response together. longHeadsAreNoAnswer failed before: such responses were complete.

--- a/src/proxy/tests/upstreamtest.cpp
+++ b/src/proxy/tests/upstreamtest.cpp
@@ -53,6 +53,45 @@
     EXPECT_FALSE(result.complete);
 }
 
+namespace
+{
+std::string repeated(const std::string &block, std::size_t bytes)
+{
+    std::string text;
+    while (text.size() < bytes) {
+        text += block;
+    }
+    return text;
+}
+}
+
+// Guards against a server that fills the memory of the VM with the head of a response, which ended the requests of all
+// other callers.
+TEST_F(UpstreamTest, longHeadsAreNoAnswer)
+{
+    const auto fields = repeated("X-Noise: " + std::string(100, 'n') + "\r\n", MaxResponseHeadBytes);
+    const auto interim = repeated("HTTP/1.1 102 Processing\r\nX-Noise: 1\r\n\r\n", MaxResponseHeadBytes);
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (const auto &answer : {"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n", interim + KeptAnswer,
+                               chunked + fields + "\r\n"}) {
+        RawServer server([&](int, const std::string &) { return answer; });
+        const auto result = run("GET", server.address(), "");
+        EXPECT_FALSE(result.complete) << answer.substr(0, 200);
+        EXPECT_FALSE(result.timedOut);
+        EXPECT_EQ(result.error, "the heads of the response are too long");
+    }
+}
+
+// Guards against a limit that refuses ordinary heads.
+TEST_F(UpstreamTest, headWithinItsLimitIsAnAnswer)
+{
+    const auto fields = repeated("X-Field: " + std::string(100, 'n') + "\r\n", MaxResponseHeadBytes / 2);
+    RawServer server(
+        [&](int, const std::string &) { return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n"; });
+    EXPECT_TRUE(run("GET", server.address(), "").complete);
+    EXPECT_GT(headers.size(), 200U);
+}
+
 // Guards against treating a truncated body as a complete response.
 TEST_F(UpstreamTest, cutResponseIsNotComplete)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -28,6 +28,7 @@
     /// A status line has arrived, and not yet the blank line after it.
     bool isInHead = false;
     bool headDelivered = false;
+    std::size_t headBytes = 0;
     bool resendStopped = false;
     /// The connection was not used because of unread bytes.
     bool foundUnreadBytes = false;
@@ -62,6 +63,10 @@
 std::size_t headerCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
+    attempt->headBytes += size * n;
+    if (attempt->headBytes > MaxResponseHeadBytes) {
+        return 0;
+    }
     std::string line(bytes, size * n);
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.pop_back();
@@ -347,8 +352,11 @@
 namespace
 {
 /// libcurl reports success when the connection closes within the head of the response.
-const char *errorText(CURLcode code, bool isComplete)
+const char *errorText(CURLcode code, bool isComplete, std::size_t headBytes)
 {
+    if (headBytes > MaxResponseHeadBytes) {
+        return "the heads of the response are too long";
+    }
     if (code != CURLE_OK) {
         return curl_easy_strerror(code);
     }
@@ -409,7 +417,7 @@
         result.resendStopped = attempt->resendStopped;
         result.isNewConnection = isOnNewConnection(attempt->handle);
         result.status = attempt->status;
-        result.error = errorText(code, result.complete);
+        result.error = errorText(code, result.complete, attempt->headBytes);
         updateIdleLimit(*attempt);
         const auto onDone = std::move(attempt->hooks.onDone);
         release(attempt);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -93,6 +93,9 @@
     bool discardsUnsent = false;
 };
 
+/// Bytes of all heads of one response, interim ones and trailers included. A response with more fails.
+inline constexpr std::size_t MaxResponseHeadBytes = 65'536;
+
 class Attempt;
 
 /// Runs attempts for one worker thread, which owns the epoll instance.
