Bound the response bytes that all requests of a worker hold to 16 MiB

What callers could see: servers that send bodies without end to callers that do not read fill 256 KiB for each of them, and 64 KiB are collected of each response before that. A thousand such requests are more than the memory of a VM, and its process ends with all other requests (reported by operators of a similar system). Bounds stood for each response only.

Change: bytes collected and buffered count in one total of the worker. At its limit bodies are passed on at once, and each response holds one piece.

--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -318,6 +318,7 @@
         }
         hasTaken = true;
     }
+    front.m_held.set(body.size());
     if (hasTaken && front.onResponseDrained) {
         front.onResponseDrained();
     }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,6 +12,7 @@
     m_status = status;
     m_responseHeaders = std::move(headers);
     m_completeBody = std::move(body);
+    m_held.set(m_completeBody.size());
     m_isResponseComplete = true;
     m_hasResponse = true;
     changed();
@@ -32,7 +33,9 @@
     if (hasEnded()) {
         return true; // the bytes are discarded
     }
-    return m_responseBody.freeSpace() >= n && m_pipeline->mayHold(*this, n);
+    // One piece is always taken, so that the response goes on when the caller has read it.
+    const bool mayTake = m_responseBody.isEmpty() || m_held.hasRoom(n);
+    return mayTake && m_responseBody.freeSpace() >= n && m_pipeline->mayHold(*this, n);
 }
 
 bool Exchange::appendResponse(const char *bytes, std::size_t n)
@@ -44,6 +47,7 @@
         return true;
     }
     m_responseBody.append(bytes, n);
+    m_held.set(m_responseBody.size());
     changed();
     return true;
 }
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -11,6 +11,7 @@
 #include <galenarock/base.h>
 
 #include "bytebuffer_p.h"
+#include "heldbytes_p.h"
 #include "requestparser_p.h"
 
 /// One request of a caller and the response to it.
@@ -146,6 +147,8 @@
     std::optional<std::uint64_t> m_responseLength;
     std::string m_completeBody;
     ByteBuffer m_responseBody{StreamBufferBytes};
+    /// Of m_completeBody or m_responseBody.
+    HeldBytes m_held;
 };
 
 }
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -12,6 +12,7 @@
 #include <galenarock/uncheckedpools.h>
 
 #include "exchange_p.h"
+#include "heldbytes_p.h"
 #include "upstream_p.h"
 
 namespace Galenarock
@@ -111,6 +112,8 @@
     unsigned responseStatus = 0;
     std::vector<HeaderField> responseHeaders;
     std::string responseBody;
+    /// Of responseBody.
+    HeldBytes heldBody;
     /// Bytes received of a body that is not passed on, because the server refused the request or its response is
     /// defective.
     std::size_t discardedBytes = 0;
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -400,6 +400,7 @@
     request->responseStatus = 0;
     request->responseHeaders.clear();
     request->responseBody.clear();
+    request->heldBody.set(0);
     request->discardedBytes = 0;
     request->serverRefusal = Reason::None;
     request->reportedUnknown = false;
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -117,7 +117,7 @@
 bool RequestHandler::mayCollect(const PendingRequest &request, std::size_t n)
 {
     const bool isShort = request.responseBody.size() + n <= CollectedResponseBytes;
-    return !request.rule || isShort;
+    return !request.rule || (isShort && request.heldBody.hasRoom(n));
 }
 
 DataResult RequestHandler::handleData(const Pending &request, const char *bytes, std::size_t n)
@@ -129,6 +129,7 @@
     }
     if (!request->streamsResponse && mayCollect(*request, n)) {
         request->responseBody.append(bytes, n);
+        request->heldBody.set(request->responseBody.size());
         return DataResult::Taken;
     }
     const bool isStreaming = request->streamsResponse || startStreaming(request);
@@ -242,6 +243,7 @@
     if (request->streamsResponse) {
         request->exchange->finishResponse();
     } else {
+        request->heldBody.set(0);
         request->exchange->respond(request->responseStatus, std::move(request->responseHeaders),
                                    std::move(request->responseBody));
     }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -401,6 +401,7 @@
     request->exchange->startResponse(request->responseStatus, request->responseHeaders, {});
     request->exchange->appendResponse(request->responseBody.data(), request->responseBody.size());
     request->responseBody.clear();
+    request->heldBody.set(0);
     return true;
 }
 
