Bound the responses of the store together

A response of up to 16 MiB was kept of each call, whatever its kind, with heads of any length; calls to a faulty store side by side could fill a VM. 64 KiB of heads and 8 MiB a response, and 16 MiB for all calls of a client now. endlessResponseIsNoAnswer failed before (the write counted as applied).

--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -14,8 +14,10 @@
 
 namespace
 {
-/// An object has at most 1 MB, and the list of 10,000 daemons with their servers about 4 MB.
-constexpr std::size_t MaxResponseBytes = 16 << 20;
+/// An object has at most 1 MB, a page of a list about as much, and the list of 10,000 VMs about 4 MB.
+constexpr std::size_t MaxResponseBytes = 8 << 20;
+/// All heads of a response, interim ones and trailers included.
+constexpr std::size_t MaxHeadBytes = 65'536;
 /// Heads with a lower status are followed by another head.
 constexpr long FirstFinalStatus = 200;
 
@@ -40,6 +42,9 @@
 
 HttpCall::~HttpCall()
 {
+    if (m_memory) {
+        m_memory->giveBack(m_takenBytes);
+    }
     curl_easy_cleanup(m_easy);
     curl_slist_free_all(m_headers);
 }
@@ -76,6 +81,11 @@
     curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_body.data());
 }
 
+void HttpCall::setMemory(ResponseMemory &memory)
+{
+    m_memory = &memory;
+}
+
 void HttpCall::setResult(CURLcode result)
 {
     // libcurl reports success when the connection closes within the head of the response.
@@ -100,9 +110,12 @@
 std::size_t HttpCall::onData(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto &call = *static_cast<HttpCall *>(self);
-    if (call.response.size() + size * count > MaxResponseBytes) {
+    const auto n = size * count;
+    const bool isTooLong = call.response.size() + n > MaxResponseBytes;
+    if (isTooLong || (call.m_memory && !call.m_memory->take(n))) {
         return 0;
     }
+    call.m_takenBytes += n;
     call.response.append(data, size * count);
     return size * count;
 }
@@ -110,6 +123,10 @@
 std::size_t HttpCall::onHeader(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto &call = *static_cast<HttpCall *>(self);
+    call.m_headBytes += size * count;
+    if (call.m_headBytes > MaxHeadBytes) {
+        return 0;
+    }
     const std::string_view line(data, size * count);
     if (line == "\r\n" || line == "\n") {
         long headStatus = 0;
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -21,6 +21,30 @@
 
 const char *nameOf(CallKind kind);
 
+/// Bytes that the responses of all calls of a client may take together, for as long as the calls exist.
+class ResponseMemory
+{
+public:
+    /// Returns false and takes nothing if `n` bytes are too many.
+    bool take(std::size_t n)
+    {
+        if (m_used + n > MaxBytes) {
+            return false;
+        }
+        m_used += n;
+        return true;
+    }
+    void giveBack(std::size_t n)
+    {
+        m_used -= n;
+    }
+
+    static constexpr std::size_t MaxBytes = 16 << 20;
+
+private:
+    std::size_t m_used = 0;
+};
+
 /// One HTTP call on a libcurl easy handle. Not movable, because libcurl keeps pointers to it.
 class HttpCall
 {
@@ -32,6 +56,8 @@
 
     /// Sets the URL, body, timeouts and callbacks of the handle.
     void prepare(const StoreClientSettings &settings, StoreCall storeCall, Duration timeout);
+    /// The response counts in this memory, which outlives the call.
+    void setMemory(ResponseMemory &memory);
     /// `code` as libcurl reports it; a response without the blank line that ends its head counts as failed.
     void setResult(CURLcode code);
 
@@ -78,6 +104,9 @@
     CURL *m_easy;
     std::string m_eraHeader;
     bool m_isHeadComplete = false;
+    std::size_t m_headBytes = 0;
+    ResponseMemory *m_memory = nullptr;
+    std::size_t m_takenBytes = 0;
     curl_slist *m_headers = nullptr;
     std::string m_body;
 };
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -114,6 +114,7 @@
 
     CallBudget m_budget;
     std::array<std::deque<PendingCall>, 4> m_queues;
+    ResponseMemory m_responseMemory;
     std::map<CURL *, std::unique_ptr<HttpCall>> m_calls;
     std::map<std::string, WatchState> m_watches;
     WatchFeedView m_feed;
@@ -323,6 +324,7 @@
 void StoreClient::Private::start(std::unique_ptr<HttpCall> call)
 {
     auto *easy = call->handle();
+    call->setMemory(m_responseMemory);
     m_calls[easy] = std::move(call);
     curl_multi_add_handle(m_multi, easy);
 }
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -165,6 +165,33 @@
     EXPECT_FALSE(fixture.has<ObjectMissingEvent>());
 }
 
+// Guards against a store, or whatever listens in its place, that fills the memory of the VM with a head or a body.
+TEST(StoreClient, endlessResponseIsNoAnswer)
+{
+    const std::string field = "X-Noise: " + std::string(1'000, 'n') + "\r\n";
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (int n = 0; n < 80; ++n) {
+        head += field;
+    }
+    const std::string body = "{\"version\":1}";
+    const auto padded = body + std::string(9 << 20, ' ');
+    for (const auto &answer : {head + fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body),
+                               ScriptedServer::response(200, padded)}) {
+        Fixture fixture([&](const std::string &) { return answer; });
+        EXPECT_EQ(fixture.write().status, WriteStatus::Unknown) << answer.substr(0, 100);
+    }
+}
+
+// Guards against memory that counts as used after its response has been handled: later responses would be refused.
+TEST(StoreClient, manyLongResponsesInTurnAreTaken)
+{
+    const auto answer = ScriptedServer::response(200, "{\"version\":1}" + std::string(5 << 20, ' '));
+    Fixture fixture([&](const std::string &) { return answer; });
+    for (int n = 0; n < 5; ++n) {
+        EXPECT_EQ(fixture.write().status, WriteStatus::Applied) << n;
+    }
+}
+
 // Guards against a double write: libcurl by itself sends a PUT again when a reused connection closes.
 TEST(StoreClient, writeOnLostConnectionIsUnknownAndNotSentAgain)
 {
