End a reply to a lease call after 4 KiB

Its body is not used. A reply without an end was read until the timeout of the call, 250 ms of a link for each grant.

--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -17,10 +17,20 @@
 constexpr std::int64_t ConnectTimeoutMs = 250;
 /// Longer than for a grant, since the check changes nothing, and shorter than the rest of the holder's last grant.
 constexpr std::int64_t CheckTimeoutMs = 750;
+/// Bodies of replies are not used; longer ones come from a faulty server.
+constexpr std::size_t MaxReplyBytes = 4'096;
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
 constexpr std::int64_t ReleaseTimeoutMs = 3'000;
 
+std::function<DataResult(const char *, std::size_t)> discardBody()
+{
+    return [received = std::size_t(0)](const char *, std::size_t n) mutable {
+        received += n;
+        return received > MaxReplyBytes ? DataResult::Abort : DataResult::Taken;
+    };
+}
+
 /// For the log: what a call asks of which server.
 std::string describe(const LeaseCall &call)
 {
@@ -133,9 +143,7 @@
         pending->headers = std::move(headers);
         return true;
     };
-    hooks.onData = [](const char *, std::size_t) {
-        return DataResult::Taken;
-    };
+    hooks.onData = discardBody();
     hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
         if (std::exchange(pending->needsCheck, false)) {
             checkNewConnection(upstream, pending);
@@ -195,9 +203,7 @@
         pending->status = status;
         return true;
     };
-    hooks.onData = [](const char *, std::size_t) {
-        return DataResult::Taken;
-    };
+    hooks.onData = discardBody();
     hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
         finishCheck(upstream, pending, result);
     };
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -267,11 +267,13 @@
     close(fd);
 }
 
-// Guards against a grant that never ends because the reply's body does not.
-TEST_F(LeaseCallerTest, ReplyWithoutEndTimesOut)
+// Guards against a grant that never ends because the reply's body does not, and against reading it until the timeout.
+TEST_F(LeaseCallerTest, ReplyWithoutEndIsCutOff)
 {
     EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", std::string(4'000, 'b'));
-    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Unknown);
+    const auto reply = call(server.address(), later());
+    EXPECT_EQ(reply.status, LeaseCallStatus::Unknown);
+    EXPECT_EQ(reply.detail.find("Timeout"), std::string::npos) << reply.detail;
 }
 
 // Guards against taking a response that arrived before a call was sent for the reply to that call.
