Send watches again that a silent store may have lost

The connection lives, so the daemons waited up to 23 s and took the silence for "nothing has changed".

Change: after trouble with the store a watch waits 1 s, doubled by each answer up to 20 s, and counts as lost 1 s after its wait. When the store answers again after a call without an answer, all watches of the daemon are sent anew.

In watchIntoASilentStoreIsSentAgain the store never answers the second watch, and the first allows an hour; the former code waits for it.

Open: a daemon that made no call in the outage does not know of it.

--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -165,6 +165,12 @@
     Duration callTimeout = seconds(3);
     /// Longest time that the platform holds a watch open.
     Duration watchTimeout = seconds(20);
+    /// The same for the first call of a watch after trouble with the store. A call that a silent store has taken is
+    /// never answered, and until its timeout this daemon would take that for "nothing has changed". Doubles with each
+    /// answer.
+    Duration shortestWatchTimeout = seconds(1);
+    /// Longest time from the end of a watch's wait to its response.
+    Duration watchAnswerTime = seconds(1);
     /// Pause between two calls of a watch, so that changes in quick succession arrive in one call.
     Duration watchPause{};
     /// Upper bound of the pause, which grows with the number of daemons because each change causes a call of every
--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -174,11 +174,10 @@
 }
 
 std::unique_ptr<HttpCall> makeWatchPoll(const StoreClientSettings &settings, const std::string &kind,
-                                        std::uint64_t revision)
+                                        std::uint64_t revision, Duration wait)
 {
     auto call = std::make_unique<HttpCall>(CallKind::Watch, ObjectKey{kind, {}});
-    call->prepare(settings, settings.dialect.watch(kind, revision, settings.watchTimeout),
-                  settings.watchTimeout + settings.callTimeout);
+    call->prepare(settings, settings.dialect.watch(kind, revision, wait), wait + settings.watchAnswerTime);
     return call;
 }
 
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -116,9 +116,9 @@
 /// page). The response has the revision from which to poll.
 std::unique_ptr<HttpCall> makeWatchList(const StoreClientSettings &settings, const std::string &kind,
                                         const std::string &after);
-/// Waits for changes of the kind after `revision`, at most for the watch timeout.
+/// Waits for changes of the kind after `revision`, at most for `wait`.
 std::unique_ptr<HttpCall> makeWatchPoll(const StoreClientSettings &settings, const std::string &kind,
-                                        std::uint64_t revision);
+                                        std::uint64_t revision, Duration wait);
 std::unique_ptr<HttpCall> makeVmListCall(const StoreClientSettings &settings);
 
 }
--- a/src/objectstore/objectdelivery_p.h
+++ b/src/objectstore/objectdelivery_p.h
@@ -33,6 +33,8 @@
     /// change while later pages are read.
     std::uint64_t listRevision = 0;
     Instant nextAt;
+    /// How long the store may hold the next call open; zero for as long as the settings say.
+    Duration wait{};
     Instant listedAt;
     FeedLag feedLag;
     /// What the pages of the list in progress have changed, to be passed on.
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -88,6 +88,8 @@
     void cancel(HttpCall &call);
     bool hasQueued() const;
     Duration watchPause() const;
+    Duration waitOf(const WatchState &state) const;
+    void restartSilentWatches(const HttpCall &answered);
 
     void onRead(const HttpCall &call);
     void onWrite(const HttpCall &call);
@@ -295,7 +297,7 @@
             continue;
         }
         auto call = state.needsList ? makeWatchList(m_settings, kind, state.listAfter)
-                                    : makeWatchPoll(m_settings, kind, state.revision);
+                                    : makeWatchPoll(m_settings, kind, state.revision, waitOf(state));
         call->continuesEarlierCall = !state.needsList || !state.listAfter.empty();
         call->fromRevision = state.revision;
         if (state.needsList) {
@@ -389,12 +391,32 @@
     }
     if (wasInOutage) {
         logEvent(Events::PlatformReachable, "the platform responds again");
+        restartSilentWatches(call);
         return;
     }
     logEvent(Events::PlatformUnreachable, "{} failed: {}, HTTP status {}; retrying with back-off", nameOf(call.kind),
              curl_easy_strerror(call.code), call.status);
 }
 
+/// Sends the watches again that were under way while the store did not respond: it may have lost them.
+void StoreClient::Private::restartSilentWatches(const HttpCall &answered)
+{
+    for (auto &[kind, state] : m_watches) {
+        state.wait = m_settings.shortestWatchTimeout;
+        if (state.inFlight == nullptr || state.inFlight == &answered) {
+            continue;
+        }
+        cancel(*std::exchange(state.inFlight, nullptr));
+        state.nextAt = MonotonicClock::now();
+    }
+}
+
+Duration StoreClient::Private::waitOf(const WatchState &state) const
+{
+    const bool isLimited = state.wait > Duration::zero() && state.wait < m_settings.watchTimeout;
+    return isLimited ? state.wait : m_settings.watchTimeout;
+}
+
 void StoreClient::Private::finish(HttpCall &call)
 {
     reportReachability(MonotonicClock::now(), call);
@@ -621,6 +643,11 @@
         if (!call.isOk() && (isHistoryGone || call.isList)) {
             watch->restartList();
         }
+        if (!call.isOk() && !isHistoryGone) {
+            watch->wait = m_settings.shortestWatchTimeout;
+        } else if (!call.isList) {
+            watch->wait = 2 * waitOf(*watch);
+        }
     }
     if (!call.isOk()) {
         return;
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -468,3 +468,62 @@
     EXPECT_EQ(result.current.version, 0U);
     EXPECT_EQ(fixture.write(0).status, WriteStatus::NotSent);
 }
+
+namespace
+{
+void useLongWatches(StoreClientSettings &settings)
+{
+    useScriptedPages(settings);
+    settings.watchTimeout = seconds(3'600);
+    settings.shortestWatchTimeout = milliseconds(20);
+    settings.watchAnswerTime = milliseconds(20);
+}
+}
+
+// The connection of a watch is reset, and the store takes the next call and never answers it. Guards against a daemon
+// that holds an older configuration until the end of the watch, since silence looks like "nothing has changed" (CONFIG,
+// DRAIN).
+TEST(StoreClient, watchIntoASilentStoreIsSentAgain)
+{
+    Fixture fixture(
+        [polls = 0](const std::string &request) mutable -> std::optional<std::string> {
+            if (request.find("/list/") != std::string::npos) {
+                return polls == 0 ? ScriptedServer::response(200, "a 50 60") : ScriptedServer::response(200, "a 61 61");
+            }
+            ++polls;
+            return polls == 1 ? std::nullopt : std::optional<std::string>("");
+        },
+        useLongWatches);
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 50U);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 61U);
+}
+
+// Guards against a watch that waits since before an outage and that the store has forgotten.
+TEST(StoreClient, watchFromBeforeAnOutageIsSentAgain)
+{
+    std::atomic<bool> isDown{false};
+    std::atomic<int> polls{0};
+    Fixture fixture(
+        [&](const std::string &request) -> std::optional<std::string> {
+            if (request.find("/list/") != std::string::npos) {
+                return polls == 0 ? ScriptedServer::response(200, "a 50 60") : ScriptedServer::response(200, "a 61 61");
+            }
+            if (request.find("/watch/") != std::string::npos) {
+                ++polls;
+                return std::string();
+            }
+            return isDown.exchange(false) ? ScriptedServer::response(503, "")
+                                          : ScriptedServer::response(200, "{\"version\":1}");
+        },
+        useLongWatches);
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 50U);
+    while (polls == 0) {
+        std::this_thread::yield();
+    }
+    isDown = true;
+    EXPECT_EQ(fixture.write().status, WriteStatus::NotSent);
+    EXPECT_EQ(fixture.write().status, WriteStatus::Applied);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 61U);
+}
