Wait for the server's close in the test of a lost connection

Trace: the call went over the kept connection before the server's close had arrived, and its outcome is then Unknown, which is true.

The test now waits until the server has accepted a further connection, which it does only after the close; its checks are the same. 0 of 2,000 fail.

--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -162,6 +162,22 @@
         return it;
     }
 
+    /// Waits until the server has closed its first connection: it accepts the next one only then.
+    static void waitUntilClosed(const RawServer &server)
+    {
+        const auto &address = server.address();
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to), 0);
+        while (server.connections() < 2) {
+            usleep(1'000);
+        }
+        close(fd);
+    }
+
     std::mutex mutex;
     std::condition_variable changed;
     std::optional<LeaseReplyEvent> reply;
@@ -239,6 +255,7 @@
                      RawServer::AfterAnswer::Close);
     const auto first = call(server.address(), later());
     ASSERT_EQ(first.status, LeaseCallStatus::Accepted);
+    waitUntilClosed(server);
     EXPECT_EQ(call(server.address(), later(), first.connection).status, LeaseCallStatus::Reconnected);
     EXPECT_EQ(server.requests(), 1);
     const auto renewed = call(server.address(), later());
