Review case 2: a drill soon after the first start leaves the keyed service unserved

Tried: the store is away for 1 s and comes back from a copy from before the first start of the gateways, about 7 s old; one gateway is killed as it goes away and starts again 50 ms after its return. Order of events: the restarted gateway finds no key of the peer messages and creates one; the others write theirs over it; it never reads it again, hears nobody and takes the lead, and so do the others after it, about once a second, each waiting 17 s for an unknown predecessor.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-for name in silence poison leaving malformed; do
+for name in silence poison leaving malformed drill; do
     g++ -std=c++17 -O1 -Wall -Wextra -pthread "standin/$name.cpp" -o "bin/$name" &
 done
 status=0
