--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -3,8 +3,6 @@
 #include <array>
 #include <charconv>
 
-#include <strings.h>
-
 #include <fmt/format.h>
 
 #include "base/sockets_p.h"
@@ -18,8 +16,6 @@
 constexpr std::size_t MaxResponseBytes = 8 << 20;
 /// All heads of a response, interim ones and trailers included.
 constexpr std::size_t MaxHeadBytes = 65'536;
-/// Heads with a lower status are followed by another head.
-constexpr long FirstFinalStatus = 200;
 
 long curlMilliseconds(Duration duration)
 {
@@ -89,7 +85,7 @@
 void HttpCall::setResult(CURLcode result)
 {
     // libcurl reports success when the connection closes within the head of the response.
-    code = result == CURLE_OK && !m_isHeadComplete ? CURLE_PARTIAL_FILE : result;
+    code = result == CURLE_OK && !m_head.isComplete() ? CURLE_PARTIAL_FILE : result;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
 }
 
@@ -127,18 +123,11 @@
     if (call.m_headBytes > MaxHeadBytes) {
         return 0;
     }
-    const std::string_view line(data, size * count);
-    if (line == "\r\n" || line == "\n") {
-        long headStatus = 0;
-        curl_easy_getinfo(call.m_easy, CURLINFO_RESPONSE_CODE, &headStatus);
-        call.m_isHeadComplete = headStatus >= FirstFinalStatus;
-        return size * count;
+    if (call.m_head.addLine({data, size * count}) == HeadProgress::Malformed) {
+        return 0;
     }
-    const auto &name = call.m_eraHeader;
-    const bool isEra = !name.empty() && line.size() > name.size() && line[name.size()] == ':'
-        && strncasecmp(line.data(), name.data(), name.size()) == 0;
-    if (isEra) {
-        const auto value = line.substr(std::min(line.size(), line.find_first_not_of(" \t", name.size() + 1)));
+    if (call.m_head.isComplete() && !call.m_eraHeader.empty()) {
+        const auto value = fieldOf(call.m_head.fields(), call.m_eraHeader);
         std::from_chars(value.data(), value.data() + value.size(), call.era);
     }
     return size * count;
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -7,6 +7,8 @@
 
 #include <galenarock/storeclient.h>
 
+#include "base/responseheadreader_p.h"
+
 namespace Galenarock
 {
 
@@ -103,7 +105,7 @@
 
     CURL *m_easy;
     std::string m_eraHeader;
-    bool m_isHeadComplete = false;
+    ResponseHeadReader m_head;
     std::size_t m_headBytes = 0;
     ResponseMemory *m_memory = nullptr;
     std::size_t m_takenBytes = 0;
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -145,6 +145,23 @@
     }
 }
 
+// Guards against believing a malformed answer of the store: it may be that of something else at its address, and a
+// write may have taken effect.
+TEST(StoreClient, malformedHeadIsNoAnswer)
+{
+    std::vector<std::string> answers;
+    for (const auto *field : {"Era : 2", "Content-Length: 2\r\nContent-Length: 2", "A: b\x01", "no colon"}) {
+        answers.push_back(fmt::format("HTTP/1.1 409 Conflict\r\n{}\r\n\r\n{{}}", field));
+        answers.push_back(fmt::format("HTTP/1.1 503 Busy\r\n{}\r\n\r\n{{}}", field));
+    }
+    std::atomic<std::size_t> next{0};
+    Fixture fixture([&](const std::string &) -> std::optional<std::string> { return answers.at(next++); });
+    fixture.server.closeAfterAnswers();
+    for (const auto &it : answers) {
+        EXPECT_EQ(fixture.write(4).status, WriteStatus::Unknown) << it;
+    }
+}
+
 // Guards against reporting an object as missing because of an answer whose head is cut.
 TEST(StoreClient, missingObjectCutInItsHeadIsNotMissing)
 {
--- a/src/proxy/headerfields.cpp
+++ b/src/proxy/headerfields.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include <strings.h>
-
 namespace Galenarock
 {
 
@@ -13,11 +11,6 @@
 constexpr std::string_view InternalPrefix = "Galenarock-";
 }
 
-bool equalsIgnoreCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool isHopByHop(std::string_view name)
 {
     constexpr std::string_view names[] = {"Connection",          "Keep-Alive", "Proxy-Authenticate",
@@ -34,15 +27,13 @@
         && !equalsIgnoreCase(name, "Galenarock-Test");
 }
 
-std::string_view fieldOf(const std::vector<HeaderField> &headers, std::string_view name)
+std::string_view FieldReader::operator()(const char *name)
 {
-    for (const auto &it : headers) {
-        if (!equalsIgnoreCase(it.name, name)) {
-            continue;
-        }
-        return it.value;
-    }
-    return {};
+    const auto value = fieldOf(m_fields, name);
+    m_isAmbiguous = m_isAmbiguous || std::any_of(m_fields.begin(), m_fields.end(), [&](const HeaderField &it) {
+                        return it.value != value && equalsIgnoreCase(it.name, name);
+                    });
+    return value;
 }
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -75,7 +75,8 @@
 
 Refusal RequestHandler::classifyRouted(PendingRequest &request, const Exchange &exchange)
 {
-    const auto info = m_shared.dialect()->readRequest([&](const char *name) { return exchange.header(name); });
+    FieldReader fields(exchange.headers());
+    const auto info = m_shared.dialect()->readRequest(std::ref(fields));
     request.requestId = info.id;
     request.path = exchange.target();
     readRelay(request, exchange);
@@ -100,6 +101,9 @@
     if (!info.defect.empty()) {
         return {Reason::MalformedRequest, Outcome::NotRun, info.defect, 0};
     }
+    if (fields.isAmbiguous()) {
+        return {Reason::MalformedRequest, Outcome::NotRun, "a header field of the request has two values", 0};
+    }
     request.idempotent = request.rule->repeatability == Repeatability::Idempotent;
     if (exchange.isReadAhead() && !request.idempotent) {
         // The route has changed since the request was read. Behind a response that closes the connection its caller
@@ -343,12 +347,12 @@
 
 bool RequestHandler::handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers)
 {
-    const auto info =
-        m_shared.dialect()->readResponse(status, [&](const char *name) { return fieldOf(headers, name); });
+    FieldReader fields(headers);
+    const auto info = m_shared.dialect()->readResponse(status, std::ref(fields));
     const bool isRelayed = !request->relay.vm.empty();
     const bool needsId = status < 300 && !info.isNotRun;
     const bool isMismatched = info.id != request->requestId && (needsId || !info.id.empty());
-    if (isMismatched) {
+    if (isMismatched || fields.isAmbiguous()) {
         request->defect = Reason::ResponseCut;
         return false;
     }
--- a/src/proxy/tests/cutheadtest.cpp
+++ b/src/proxy/tests/cutheadtest.cpp
@@ -212,6 +212,44 @@
     }
 }
 
+// Guards against a success whose head libcurl, this client and the caller read in different ways: a body of another
+// length, or a head that is no HTTP.
+TEST_F(CutHeadTest, malformedHeadIsNoAnswer)
+{
+    const std::vector<std::string> fieldLines{
+        "Content-Length : 2\r\nContent-Length: 12",
+        "Content-Length: 12\r\nContent-Length: 2",
+        "Content-Length: 2, 12",
+        "Content-Length: +2",
+        "Content-Length: 0x2",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "A b: c",
+        ": c",
+        "A\x01: c",
+        "A: b\rc",
+        "A: b\x01",
+        "A: b\x7f",
+        std::string("A: b\0c", 6),
+        "no colon",
+    };
+    SharedText answer;
+    RawServer server([&](int, const std::string &) { return answer.get(); }, RawServer::AfterAnswer::Close);
+    for (const auto &it : fieldLines) {
+        answer = "HTTP/1.1 200 OK\r\nRequest: r-1\r\n" + it + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        expectNoAnswer("GET", server, answer.get());
+    }
+    for (const std::string it : {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.1 600 No",
+                                 "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked", "HTTP/1.1 200 O\x01K",
+                                 "HTTP/1.1 100 Continue\r\nA b: c\r\n\r\nHTTP/1.1 200 OK"}) {
+        answer = it + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        expectNoAnswer("GET", server, answer.get());
+    }
+}
+
 // Guards against taking a trailer for the head of another answer.
 TEST_F(CutHeadTest, trailerThatLooksLikeAStatusLineIsNoHead)
 {
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -125,6 +125,51 @@
     EXPECT_EQ(first.requests() + second.requests(), before + 1);
 }
 
+// Guards against "not run" from a head that is otherwise malformed (REFUSED), and against running the request at a
+// second server (TWICE).
+TEST_F(StaleAnswerTest, MalformedRefusalLeavesTheOutcomeUnknown)
+{
+    const std::vector<std::string> fields{"A : b", "Content-Length: 2", "A: b\x01"};
+    const auto script = [&](int, const std::string &request) {
+        const auto id = idOf(request);
+        if (id == "first") {
+            return success(id);
+        }
+        const auto &field = fields.at(static_cast<std::size_t>(id.back() - '0'));
+        return fmt::format("HTTP/1.1 503 Refused\r\nRequest: {}\r\nNot-Run: 1\r\nContent-Length: 1\r\n{}\r\n\r\nx", id,
+                           field);
+    };
+    RawServer first(script);
+    RawServer second(script);
+    start({first.address(), second.address()});
+    fillRetryBudget();
+    const int before = first.requests() + second.requests();
+    for (std::size_t n = 0; n < fields.size(); ++n) {
+        EXPECT_EQ(statusOf(fmt::format("r-{}", n)), 502) << fields[n];
+    }
+    EXPECT_EQ(first.requests() + second.requests(), before + 3);
+}
+
+// Guards against a choice between two values of one field, as of the id, by which the caller may decide otherwise.
+TEST_F(StaleAnswerTest, FieldWithTwoValuesLeavesTheOutcomeUnknown)
+{
+    RawServer server([&](int, const std::string &request) {
+        const auto id = idOf(request);
+        return fmt::format("HTTP/1.1 200 OK\r\nRequest: {}\r\nRequest: other\r\nContent-Length: 2\r\n\r\nok", id);
+    });
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1"), 502);
+}
+
+// Guards against a server that runs a request under another id than the router has read.
+TEST_F(StaleAnswerTest, RequestWithTwoIdsIsRefused)
+{
+    RawServer server([](int, const std::string &request) { return success(idOf(request)); });
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1\r\nRequest: r-2"), 400);
+    EXPECT_EQ(server.requests(), 0);
+}
+
 // Guards against believing a refusal without an id that repeats an earlier one of the same connection (REFUSED).
 TEST_F(StaleAnswerTest, RepeatedRefusalWithoutIdIsNotBelieved)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <cstring>
 
+#include <fmt/format.h>
+
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,11 +24,8 @@
     curl_slist *headerList = nullptr;
     AttemptRequest request;
     AttemptHooks hooks;
-    std::vector<HeaderField> responseHeaders;
-    unsigned status = 0;
+    ResponseHeadReader head;
     unsigned sends = 0;
-    /// A status line has arrived, and not yet the blank line after it.
-    bool isInHead = false;
     bool headDelivered = false;
     std::size_t headBytes = 0;
     bool resendStopped = false;
@@ -43,21 +42,23 @@
 {
 constexpr std::size_t MaxIdleHandles = 64;
 
-/// Returns false when the attempt must be aborted.
-bool deliverHead(Attempt *attempt)
+/// `timeout` of a Keep-Alive field in seconds; 0 when there is none.
+long advertisedIdle(std::string_view keepAlive)
 {
-    attempt->headDelivered = true;
-    return attempt->hooks.onHead(attempt->status, std::move(attempt->responseHeaders));
+    constexpr std::string_view parameter = "timeout=";
+    const auto start = keepAlive.find(parameter);
+    if (start == std::string_view::npos) {
+        return 0;
+    }
+    return std::atol(std::string(keepAlive.substr(start + parameter.size())).c_str());
 }
 
-/// Status code of a status line such as `HTTP/1.1 200 OK`; 0 when it is malformed.
-unsigned parseStatus(const std::string &line)
+/// Returns false when the attempt must be aborted.
+bool deliverHead(Attempt *attempt)
 {
-    const auto space = line.find(' ');
-    if (space == std::string::npos) {
-        return 0;
-    }
-    return static_cast<unsigned>(std::strtoul(line.c_str() + space + 1, nullptr, 10));
+    attempt->headDelivered = true;
+    attempt->advertisedIdleSeconds = advertisedIdle(fieldOf(attempt->head.fields(), "Keep-Alive"));
+    return attempt->hooks.onHead(attempt->head.status(), attempt->head.takeFields());
 }
 
 std::size_t headerCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
@@ -67,49 +68,23 @@
     if (attempt->headBytes > MaxResponseHeadBytes) {
         return 0;
     }
-    std::string line(bytes, size * n);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-        line.pop_back();
-    }
-    if (attempt->headDelivered) {
-        return size * n; // a trailer
-    }
-    if (line.compare(0, 5, "HTTP/") == 0) {
-        if (attempt->isInHead) {
-            return 0; // the head before has no end; libcurl takes the length and status from it
-        }
-        attempt->isInHead = true;
-        attempt->status = parseStatus(line);
-        attempt->responseHeaders.clear();
-        return size * n;
-    }
-    if (line.empty()) {
-        attempt->isInHead = false;
-        const bool isInformational = attempt->status < 200;
-        return isInformational || deliverHead(attempt) ? size * n : 0;
-    }
-    if (line.front() == ' ' || line.front() == '\t') {
-        return 0; // a folded line: libcurl does not join it to the field, which may hold the length or the coding
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string::npos) {
+    switch (attempt->head.addLine({bytes, size * n})) {
+    case HeadProgress::Malformed:
+        return 0;
+    case HeadProgress::Incomplete:
         return size * n;
+    case HeadProgress::Complete:
+        break;
     }
-    const auto valueStart = line.find_first_not_of(" \t", colon + 1);
-    if (strncasecmp(line.c_str(), "Keep-Alive:", colon + 1) == 0) {
-        const auto timeout = line.find("timeout=");
-        attempt->advertisedIdleSeconds = timeout == std::string::npos ? 0 : std::atol(line.c_str() + timeout + 8);
-    }
-    attempt->responseHeaders.push_back(
-        {line.substr(0, colon), valueStart == std::string::npos ? std::string() : line.substr(valueStart)});
-    return size * n;
+    const bool isTrailer = attempt->headDelivered;
+    return isTrailer || deliverHead(attempt) ? size * n : 0;
 }
 
 std::size_t writeCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
     if (!attempt->headDelivered) {
-        return size * n + 1; // after a 101 head or a line that begins with CR, libcurl takes the next bytes as a body
+        return size * n + 1; // libcurl takes more bytes for the end of a head than ResponseHeadReader does
     }
     switch (attempt->hooks.onData(bytes, size * n)) {
     case DataResult::Taken:
@@ -352,11 +327,14 @@
 namespace
 {
 /// libcurl reports success when the connection closes within the head of the response.
-const char *errorText(CURLcode code, bool isComplete, std::size_t headBytes)
+std::string errorText(CURLcode code, bool isComplete, const Attempt &attempt)
 {
-    if (headBytes > MaxResponseHeadBytes) {
+    if (attempt.headBytes > MaxResponseHeadBytes) {
         return "the heads of the response are too long";
     }
+    if (!attempt.head.defect().empty()) {
+        return fmt::format("malformed response: {}", attempt.head.defect());
+    }
     if (code != CURLE_OK) {
         return curl_easy_strerror(code);
     }
@@ -416,8 +394,8 @@
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         result.resendStopped = attempt->resendStopped;
         result.isNewConnection = isOnNewConnection(attempt->handle);
-        result.status = attempt->status;
-        result.error = errorText(code, result.complete, attempt->headBytes);
+        result.status = attempt->head.status();
+        result.error = errorText(code, result.complete, *attempt);
         updateIdleLimit(*attempt);
         const auto onDone = std::move(attempt->hooks.onDone);
         release(attempt);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -12,21 +12,12 @@
 
 #include <galenarock/base.h>
 
+#include "base/responseheadreader_p.h"
+
 /// The server side of the proxy: attempts over persistent connections with libcurl's multi interface.
 namespace Galenarock
 {
 
-struct HeaderField
-{
-    std::string name;
-    std::string value;
-
-    friend bool operator==(const HeaderField &a, const HeaderField &b)
-    {
-        return a.name == b.name && a.value == b.value;
-    }
-};
-
 /// Result of one attempt.
 struct AttemptResult
 {
