--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -171,6 +171,9 @@
     Duration shortestWatchTimeout = seconds(1);
     /// Longest time from the end of a watch's wait to its response.
     Duration watchAnswerTime = seconds(1);
+    /// Interval of heartbeats while watches wait, and how long the store may take to answer one.
+    Duration heartbeatInterval = milliseconds(500);
+    Duration heartbeatTimeout = seconds(1);
     /// Pause between two calls of a watch, so that changes in quick succession arrive in one call.
     Duration watchPause{};
     /// Upper bound of the pause, which grows with the number of daemons because each change causes a call of every
--- a/include/galenarock/storedialect.h
+++ b/include/galenarock/storedialect.h
@@ -48,6 +48,9 @@
     std::function<StoreCall(const ObjectKey &key)> read;
     std::function<StoreCall(const std::string &kind, const std::string &after)> list;
     std::function<StoreCall(const std::string &kind, std::uint64_t revision, Duration wait)> watch;
+    /// A cheap call that the store answers at once; any status shows that the store responds. May be empty: then a
+    /// silent store is found out by the watches alone.
+    std::function<StoreCall()> heartbeat;
     /// Create, conditional replace or removal.
     std::function<StoreCall(const WriteObjectAction &write)> write;
 
--- a/src/objectstore/events_p.h
+++ b/src/objectstore/events_p.h
@@ -13,4 +13,5 @@
 inline constexpr EventType PlatformBudgetExceeded{606, Severity::Warning, "platform-budget-exceeded"};
 inline constexpr EventType PlatformRepeatPrevented{607, Severity::Warning, "platform-repeat-prevented"};
 inline constexpr EventType PlatformRestored{608, Severity::Warning, "platform-restored"};
+inline constexpr EventType PlatformSilent{609, Severity::Warning, "platform-silent"};
 }
--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -25,7 +25,7 @@
 
 const char *nameOf(CallKind kind)
 {
-    constexpr std::array names{"read", "write", "list", "watch", "vms"};
+    constexpr std::array names{"read", "write", "list", "watch", "vms", "heartbeat"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -177,4 +177,11 @@
     return call;
 }
 
+std::unique_ptr<HttpCall> makeHeartbeat(const StoreClientSettings &settings)
+{
+    auto call = std::make_unique<HttpCall>(CallKind::Heartbeat, ObjectKey());
+    call->prepare(settings, settings.dialect.heartbeat(), settings.heartbeatTimeout);
+    return call;
+}
+
 }
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -19,6 +19,7 @@
     List,
     Watch,
     VmList,
+    Heartbeat,
 };
 
 const char *nameOf(CallKind kind);
@@ -122,5 +123,6 @@
 std::unique_ptr<HttpCall> makeWatchPoll(const StoreClientSettings &settings, const std::string &kind,
                                         std::uint64_t revision, Duration wait);
 std::unique_ptr<HttpCall> makeVmListCall(const StoreClientSettings &settings);
+std::unique_ptr<HttpCall> makeHeartbeat(const StoreClientSettings &settings);
 
 }
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -14,6 +14,7 @@
 #include "objectstore/answers_p.h"
 #include "objectstore/events_p.h"
 #include "objectstore/objectdelivery_p.h"
+#include "objectstore/storeheartbeat_p.h"
 
 namespace Galenarock
 {
@@ -81,6 +82,9 @@
     void share(WatchChange change) const;
     WatchChange changeOf(const HttpCall &call, const ObjectPage &page, WatchState &watch) const;
     void startVmList(Instant now);
+    void startHeartbeat(Instant now);
+    void finishHeartbeat(const HttpCall &call);
+    bool hasWaitingWatch() const;
     void start(std::unique_ptr<HttpCall> call);
     void finishCalls();
     void restartWatch(const HttpCall &call);
@@ -89,7 +93,8 @@
     bool hasQueued() const;
     Duration watchPause() const;
     Duration waitOf(const WatchState &state) const;
-    void restartSilentWatches(const HttpCall &answered);
+    std::size_t restartSilentWatches(const HttpCall &answered);
+    void updateReachable();
 
     void onRead(const HttpCall &call);
     void onWrite(const HttpCall &call);
@@ -120,6 +125,7 @@
     std::map<CURL *, std::unique_ptr<HttpCall>> m_calls;
     std::map<std::string, WatchState> m_watches;
     WatchFeedView m_feed;
+    StoreHeartbeat m_heartbeat;
     /// Highest era that a response stated; 0 before the first one.
     std::uint64_t m_era = 0;
     /// False when the handler could not take the event of the era.
@@ -140,6 +146,7 @@
     , m_multi(curl_multi_init())
     , m_ring(m_settings.ringCapacity)
     , m_budget(m_settings.budget)
+    , m_heartbeat(m_settings.heartbeatInterval)
 {
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 8L);
     m_thread = Thread("platform", [this] { run(); });
@@ -183,6 +190,7 @@
         applyFeed(now);
         startWatches(now);
         startVmList(now);
+        startHeartbeat(now);
         int running = 0;
         curl_multi_perform(m_multi, &running);
         finishCalls();
@@ -323,6 +331,45 @@
     start(makeVmListCall(m_settings));
 }
 
+bool StoreClient::Private::hasWaitingWatch() const
+{
+    return std::any_of(m_watches.begin(), m_watches.end(), [](const auto &it) {
+        const auto *call = it.second.inFlight;
+        return call != nullptr && !call->isList;
+    });
+}
+
+/// During an outage the call budget probes the store instead.
+void StoreClient::Private::startHeartbeat(Instant now)
+{
+    const bool isNeeded = m_settings.dialect.heartbeat && hasWaitingWatch() && !m_budget.isInOutage();
+    if (!isNeeded || !m_heartbeat.isDue(now)) {
+        return;
+    }
+    m_heartbeat.sent(now);
+    start(makeHeartbeat(m_settings));
+}
+
+/// A heartbeat without an answer is no outage for the call budget: a slow store still answers other calls.
+void StoreClient::Private::finishHeartbeat(const HttpCall &call)
+{
+    const bool wasSilent = m_heartbeat.isSilent();
+    if (m_heartbeat.finished(isPlatformResponding(call))) {
+        const auto n = restartSilentWatches(call);
+        logEvent(Events::PlatformReachable, "the platform answers heartbeats again; {} watches are sent anew", n);
+    }
+    if (m_heartbeat.isSilent() && !wasSilent) {
+        logEvent(Events::PlatformSilent, "no answer to a heartbeat: {}, HTTP status {}", curl_easy_strerror(call.code),
+                 call.status);
+    }
+    updateReachable();
+}
+
+void StoreClient::Private::updateReachable()
+{
+    m_isReachable.store(!m_budget.isInOutage() && !m_heartbeat.isSilent());
+}
+
 void StoreClient::Private::start(std::unique_ptr<HttpCall> call)
 {
     auto *easy = call->handle();
@@ -385,22 +432,26 @@
 {
     const bool wasInOutage = m_budget.isInOutage();
     m_budget.finish(now, isPlatformResponding(call));
-    m_isReachable.store(!m_budget.isInOutage());
+    updateReachable();
     if (m_budget.isInOutage() == wasInOutage) {
         return;
     }
     if (wasInOutage) {
         logEvent(Events::PlatformReachable, "the platform responds again");
         restartSilentWatches(call);
+        m_heartbeat.clearSilence();
+        updateReachable();
         return;
     }
     logEvent(Events::PlatformUnreachable, "{} failed: {}, HTTP status {}; retrying with back-off", nameOf(call.kind),
              curl_easy_strerror(call.code), call.status);
 }
 
-/// Sends the watches again that were under way while the store did not respond: it may have lost them.
-void StoreClient::Private::restartSilentWatches(const HttpCall &answered)
+/// Sends the watches again that were under way while the store did not respond: it may have lost them. Returns their
+/// number.
+std::size_t StoreClient::Private::restartSilentWatches(const HttpCall &answered)
 {
+    std::size_t n = 0;
     for (auto &[kind, state] : m_watches) {
         state.wait = m_settings.shortestWatchTimeout;
         if (state.inFlight == nullptr || state.inFlight == &answered) {
@@ -408,7 +459,9 @@
         }
         cancel(*std::exchange(state.inFlight, nullptr));
         state.nextAt = MonotonicClock::now();
+        ++n;
     }
+    return n;
 }
 
 Duration StoreClient::Private::waitOf(const WatchState &state) const
@@ -419,7 +472,11 @@
 
 void StoreClient::Private::finish(HttpCall &call)
 {
-    reportReachability(MonotonicClock::now(), call);
+    if (call.kind == CallKind::Heartbeat) {
+        finishHeartbeat(call);
+    } else {
+        reportReachability(MonotonicClock::now(), call);
+    }
     updateCallMetrics(call);
     const bool isOfNewEra = call.era > m_era;
     if (isOfNewEra) {
@@ -444,6 +501,8 @@
     case CallKind::VmList:
         onVmList(call);
         break;
+    case CallKind::Heartbeat:
+        break; // its end was all that counts
     }
 }
 
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -516,6 +516,78 @@
     EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 61U);
 }
 
+// The store is silent to a watch while the daemon makes no other call. Guards against a daemon that does not notice,
+// and holds an older configuration until the end of the watch (CONFIG, DRAIN, DENIED).
+TEST(StoreClient, quietDaemonNoticesASilentStore)
+{
+    std::atomic<int> polls{0};
+    std::atomic<int> heartbeats{0};
+    Fixture fixture(
+        [&](const std::string &request) -> std::optional<std::string> {
+            if (request.find("/list/") != std::string::npos) {
+                return ScriptedServer::response(200, "a 50 60");
+            }
+            if (request.find("/heartbeat") != std::string::npos) {
+                return ++heartbeats <= 2 ? std::string() : ScriptedServer::response(404, "{}");
+            }
+            return ++polls == 1 ? std::string() : ScriptedServer::response(200, "a 61 61");
+        },
+        [](StoreClientSettings &settings) {
+            useScriptedPages(settings);
+            settings.watchTimeout = seconds(3'600);
+            settings.shortestWatchTimeout = seconds(3'600);
+            settings.heartbeatInterval = milliseconds(10);
+            settings.heartbeatTimeout = milliseconds(50);
+            settings.dialect.heartbeat = [] {
+                return StoreCall{"GET", "/heartbeat", {}};
+            };
+        });
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 50U);
+    for (int n = 0; n < 2'000 && polls < 2; ++n) { // bounded, so that a broken client fails
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    ASSERT_GE(polls, 2);
+    EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 61U);
+}
+
+// Guards against heartbeats as an outage: a slow store, which answers other calls, must not stop the leases of a
+// leader.
+TEST(StoreClient, unansweredHeartbeatIsNoOutageForOtherCalls)
+{
+    std::atomic<int> heartbeats{0};
+    Fixture fixture(
+        [&](const std::string &request) -> std::optional<std::string> {
+            if (request.find("/list/") != std::string::npos) {
+                return ScriptedServer::response(200, "a 50 60");
+            }
+            if (request.find("/heartbeat") != std::string::npos) {
+                ++heartbeats;
+                return std::string();
+            }
+            const bool isWatch = request.find("/watch/") != std::string::npos;
+            return isWatch ? std::string() : ScriptedServer::response(200, "{\"version\":1}");
+        },
+        [](StoreClientSettings &settings) {
+            useScriptedPages(settings);
+            settings.watchTimeout = seconds(3'600);
+            settings.heartbeatInterval = milliseconds(1);
+            settings.heartbeatTimeout = milliseconds(5);
+            settings.budget.firstBackOff = seconds(3'600);
+            settings.budget.longestBackOff = seconds(3'600);
+            settings.dialect.heartbeat = [] {
+                return StoreCall{"GET", "/heartbeat", {}};
+            };
+        });
+    fixture.client.setWatch("mandate", true);
+    for (int n = 0; n < 2'000 && heartbeats < 3; ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_GE(heartbeats, 3);
+    EXPECT_FALSE(fixture.client.isReachable());
+    EXPECT_EQ(fixture.write().status, WriteStatus::Applied);
+}
+
 // Guards against a watch that waits since before an outage and that the store has forgotten.
 TEST(StoreClient, watchFromBeforeAnOutageIsSentAgain)
 {
