--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -195,6 +195,8 @@
     std::string detail;
     /// By this time the reply was complete, or the connection had ended and its unsent bytes were discarded.
     Instant endedAt{};
+    /// The reply says that the server leaves.
+    bool isServerLeaving = false;
 };
 
 /// A message from another daemon whose MAC was verified. `payload` is the slice's own cereal encoding.
@@ -253,9 +255,15 @@
     std::uint64_t era = 0;
 };
 
+/// A server says in a response that it leaves.
+struct ServerLeavingEvent
+{
+    Identity server;
+};
+
 using ControlEvent =
     std::variant<TickEvent, VmListEvent, ObjectEvent, ObjectMissingEvent, WriteResultEvent, GrantReplyEvent, PeerEvent,
-                 MembersEvent, StopEvent, KindSyncedEvent, LeaseReplyEvent, StoreEraEvent>;
+                 MembersEvent, StopEvent, KindSyncedEvent, LeaseReplyEvent, StoreEraEvent, ServerLeavingEvent>;
 
 struct ReadObjectAction
 {
--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -7,6 +7,7 @@
 
 #include <galenarock/error.h>
 #include <galenarock/keyloads.h>
+#include <galenarock/leavingservers.h>
 #include <galenarock/ledgernode.h>
 #include <galenarock/loadreport.h>
 #include <galenarock/metrics.h>
@@ -168,6 +169,10 @@
     {
         return m_serverLimits;
     }
+    SharedLeavingServers &leavingServers()
+    {
+        return m_leavingServers;
+    }
     SharedServerReach &serverReach()
     {
         return m_serverReach;
@@ -198,6 +203,7 @@
     std::shared_ptr<const PeerKey> m_peerKey;
     SharedRelays m_relays;
     SharedServerLimits m_serverLimits;
+    SharedLeavingServers m_leavingServers;
     LedgerNode m_ledger;
     SharedSuspects m_suspects;
     SharedServerReach m_serverReach;
--- a/include/galenarock/requestdialect.h
+++ b/include/galenarock/requestdialect.h
@@ -60,6 +60,8 @@
     std::optional<ReportedLoad> load;
     /// Requests per second that the server takes from all daemons together; empty when it states none.
     std::optional<double> requestsPerSecond;
+    /// The server says that it leaves: it wants no new requests and ends soon.
+    bool isLeaving = false;
     /// The response has a Content-Encoding, so its body is not the server's original bytes.
     bool isEncoded = false;
 };
--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -18,6 +18,7 @@
 inline constexpr EventType PeerKeyReplaced{129, Severity::Warning, "peer-key-replaced"};
 inline constexpr EventType WatcherChanged{131, Severity::Info, "watcher-changed"};
 inline constexpr EventType WatchFeedMalformed{132, Severity::Warning, "watch-feed-malformed"};
+inline constexpr EventType ServerLeaving{133, Severity::Info, "server-leaving"};
 inline constexpr EventType ReloadIgnored{128, Severity::Info, "reload-ignored"};
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -307,6 +307,8 @@
                              }});
     shared.serverLimits().setSendHook([this](const SendPeerAction &it) { sendLimitMessage(it); });
     shared.serverLimits().setWakeHook([this] { proxy.wake(); });
+    shared.leavingServers().setReportHook(
+        [this](const Identity &it) { control->post(EventSource::Servers, ServerLeavingEvent{it}); });
     shared.suspects().setReportHook([this](const SuspectReport &it) { broadcast(it); });
     ProxySettings proxySettings{toString(settings.listen), settings.workers};
     proxySettings.headerBytes = CallerHeaderBytes;
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -199,8 +199,9 @@
         ++m_connections[pending->reply.call.address].latest;
         return true;
     };
-    hooks.onHead = [pending](unsigned status, std::vector<HeaderField>) {
+    hooks.onHead = [pending](unsigned status, std::vector<HeaderField> headers) {
         pending->status = status;
+        pending->headers = std::move(headers);
         return true;
     };
     hooks.onData = discardBody();
@@ -221,7 +222,8 @@
     }
     LeaseReplyEvent checked = reply;
     m_dialect.decodeLeaseReply(
-        pending->status, [](const char *) { return std::string_view(); }, checked);
+        pending->status, [&](const char *name) { return fieldOf(pending->headers, name); }, checked);
+    reply.isServerLeaving = checked.isServerLeaving;
     if (checked.status != LeaseCallStatus::Accepted) {
         reply.status = LeaseCallStatus::Refused;
         reply.detail = fmt::format("HTTP status {} to the first call on a new connection", pending->status);
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <galenarock/leavingservers.h>
+
 #include "events_p.h"
 
 namespace Galenarock
@@ -114,6 +116,17 @@
             receiveFeed(now, *peer);
             return;
         }
+        if (peer->type == LeavingMessage::Notice) {
+            receiveLeavingNotice(now, *peer);
+            return;
+        }
+    } else if (const auto *leaving = std::get_if<ServerLeavingEvent>(&event)) {
+        onServerLeaving(now, leaving->server);
+        return;
+    } else if (const auto *reply = std::get_if<LeaseReplyEvent>(&event)) {
+        if (reply->isServerLeaving) {
+            onServerLeaving(now, reply->call.server);
+        }
     } else if (std::holds_alternative<StopEvent>(event)) {
         m_isStopping = true;
     }
@@ -466,6 +479,48 @@
         });
 }
 
+bool GatewayControlPlane::markLeaving(Instant now, const Identity &server)
+{
+    const bool isNews = m_servers.markLeaving(now, server);
+    if (isNews) {
+        logEvent(Events::ServerLeaving, "{} says that it leaves", toString(server));
+        serversChanged();
+    }
+    return isNews;
+}
+
+/// A server has said to this daemon that it leaves. The leader of a keyed service hears of it as well, unless the store
+/// has told it.
+void GatewayControlPlane::onServerLeaving(Instant now, const Identity &server)
+{
+    const bool isNews = markLeaving(now, server);
+    if (!isNews && !m_servers.isLeavingUnconfirmed(server)) {
+        return;
+    }
+    const auto lease = m_leases.find(m_servers.find(server.name)->service);
+    if (lease == m_leases.end()) {
+        return;
+    }
+    const auto leader = lease->second.leaderName();
+    if (!leader.empty() && leader != m_settings.self.name) {
+        m_hooks.sendPeer({leader, LeavingMessage::Notice, encodeLeavingServer(server)});
+    }
+}
+
+void GatewayControlPlane::receiveLeavingNotice(Instant now, const PeerEvent &event)
+{
+    tryOr(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(server, decodeLeavingServer(event.payload));
+            markLeaving(now, server);
+            return {};
+        },
+        [&](ErrorCode code, const std::string &detail) {
+            logEvent(Events::WatchFeedMalformed, "type {} from {}: {} {}", event.type, event.sender.name,
+                     errorMessage(code), detail);
+        });
+}
+
 /// Passes on what this daemon has read of the store, and tells the store client what others pass on.
 void GatewayControlPlane::updateFeed(Instant now)
 {
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -119,6 +119,9 @@
     void sendLoadReports(Instant now);
     void publishFeatures(Instant now);
     void receiveFeed(Instant now, const PeerEvent &event);
+    void receiveLeavingNotice(Instant now, const PeerEvent &event);
+    bool markLeaving(Instant now, const Identity &server);
+    void onServerLeaving(Instant now, const Identity &server);
     void updateFeed(Instant now);
     void stepMembership(Instant now, const ControlEvent &event);
     void stepLeases(Instant now, const ControlEvent &event);
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -46,17 +46,28 @@
     return true;
 }
 
-bool ServerDirectory::put(Instant now, const ServerEntry &entry)
+bool ServerDirectory::hadSaidLeaving(const Identity &process) const
 {
-    if (hadLeftBeforeRestore(entry)) {
+    const auto found = m_removed.find(process.name);
+    return found != m_removed.end() && found->second.identity == process && found->second.saidLeaving;
+}
+
+bool ServerDirectory::put(Instant now, const ServerEntry &stored)
+{
+    const bool hadSaid = hadSaidLeaving(stored.identity);
+    if (hadLeftBeforeRestore(stored)) {
         return false;
     }
+    auto entry = stored;
     const auto &name = entry.identity.name;
     const auto [it, isNew] = m_servers.try_emplace(name);
     auto &server = it->second;
     if (server.entry.identity.boot > entry.identity.boot) {
         return false;
     }
+    server.saysLeaving = hadSaid || (server.saysLeaving && server.entry.identity == entry.identity);
+    server.isEntryDraining = stored.isDraining;
+    entry.isDraining = entry.isDraining || server.saysLeaving;
     if (isNew) {
         m_services[entry.service].servers[name] = &server;
     }
@@ -73,13 +84,46 @@
         server.drainingSince.reset();
         m_inHandover.erase(name);
     }
-    if (entry.isDraining && !server.drainingSince) {
-        server.drainingSince = now;
-        m_inHandover.insert(name);
+    if (entry.isDraining) {
+        noteDraining(now, server);
+    }
+    return true;
+}
+
+void ServerDirectory::noteDraining(Instant now, TrackedServer &server)
+{
+    if (server.drainingSince) {
+        return;
+    }
+    server.drainingSince = now;
+    m_inHandover.insert(server.entry.identity.name);
+}
+
+bool ServerDirectory::markLeaving(Instant now, const Identity &process)
+{
+    const auto found = m_servers.find(process.name);
+    if (found == m_servers.end() || found->second.entry.identity != process) {
+        return false;
+    }
+    auto &server = found->second;
+    server.saysLeaving = true;
+    if (server.entry.isDraining) {
+        return false;
     }
+    auto entry = server.entry;
+    entry.isDraining = true;
+    enter(server, entry);
+    noteDraining(now, server);
     return true;
 }
 
+bool ServerDirectory::isLeavingUnconfirmed(const Identity &process) const
+{
+    const auto found = m_servers.find(process.name);
+    const bool isTracked = found != m_servers.end() && found->second.entry.identity == process;
+    return isTracked && found->second.saysLeaving && !found->second.isEntryDraining;
+}
+
 /// Replaces the entry of a tracked server, which may be of another service than before.
 void ServerDirectory::enter(TrackedServer &server, const ServerEntry &entry)
 {
@@ -122,7 +166,7 @@
     auto &service = m_services[server->second.entry.service];
     service.servers.erase(name);
     ++service.revision;
-    m_removed[name] = {server->second.entry.identity, now, {}};
+    m_removed[name] = {server->second.entry.identity, now, server->second.saysLeaving, {}};
     m_removals.push_back({now, name});
     m_servers.erase(server);
 }
--- a/src/gateway/serverdirectory_p.h
+++ b/src/gateway/serverdirectory_p.h
@@ -29,6 +29,11 @@
     /// Removes a server whose entry disappeared from the store. Returns false if the server is not tracked or if its
     /// removal is deferred because of an outage; update() then removes it.
     bool remove(Instant now, const std::string &name);
+    /// The server says that it leaves: it counts as draining from now on, whatever its entry says, until another
+    /// process has its name. Returns whether that is news.
+    bool markLeaving(Instant now, const Identity &process);
+    /// The store's entry of the server does not show yet that it is draining.
+    bool isLeavingUnconfirmed(const Identity &process) const;
     /// The store continues from an older copy. Entries that are missing now are kept until their servers have had the
     /// time to write them again; entries of servers that had left are ignored until these write, if they live after
     /// all.
@@ -66,6 +71,8 @@
     void setMissing(TrackedServer &server, const std::string &name, Instant removeAt);
     void setFound(TrackedServer &server, const std::string &name);
     void enter(TrackedServer &server, const ServerEntry &entry);
+    void noteDraining(Instant now, TrackedServer &server);
+    bool hadSaidLeaving(const Identity &process) const;
     void drop(Instant now, Servers::iterator server);
     bool endHandovers(Instant now);
     bool removeMissing(Instant now, bool isStoreReachable);
@@ -76,6 +83,10 @@
         ServerEntry entry;
         /// Deadline of a deferred removal; set while the entry is missing from the store.
         std::optional<Instant> removeAt;
+        /// The process says in its responses that it leaves.
+        bool saysLeaving = false;
+        /// The last entry of the store shows it draining.
+        bool isEntryDraining = false;
         /// When the server was first seen draining.
         std::optional<Instant> drainingSince;
     };
@@ -97,6 +108,7 @@
     {
         Identity identity;
         Instant at{};
+        bool saidLeaving = false;
         std::optional<std::uint64_t> restoredSequence;
     };
     std::map<std::string, RemovedServer> m_removed;
--- a/src/gateway/tests/serverdirectorytest.cpp
+++ b/src/gateway/tests/serverdirectorytest.cpp
@@ -44,6 +44,48 @@
     EXPECT_EQ(directory.vmEntries("shop", at(2'400))[1].address, "10.0.0.1:80");
 }
 
+// Guards against requests to a server that says that it leaves, while the store does not reach this daemon (DRAIN).
+TEST(ServerDirectoryTest, ServerThatSaysThatItLeavesCountsAsDraining)
+{
+    auto directory = directoryOf(3);
+    const auto revision = directory.revision("shop");
+    EXPECT_TRUE(directory.markLeaving(at(0), {"s-1", 5}));
+    EXPECT_FALSE(directory.markLeaving(at(10), {"s-1", 5}));
+    EXPECT_GT(directory.revision("shop"), revision);
+    EXPECT_TRUE(directory.isLeavingUnconfirmed({"s-1", 5}));
+    EXPECT_EQ(directory.vmEntries("shop", at(10))[1].state, VmState::Leaving);
+    EXPECT_TRUE(directory.leaseServers("shop")[1].leaving);
+    const auto end = duration_cast<milliseconds>(drainHandoverPeriod).count();
+    EXPECT_TRUE(directory.update(at(static_cast<int>(end)), true));
+    EXPECT_EQ(directory.vmEntries("shop", at(2'300))[1].address, "");
+}
+
+// Guards against an entry from before the statement that takes the server back, also one that lapsed meanwhile.
+TEST(ServerDirectoryTest, EntryOfAServerThatSaysThatItLeavesDoesNotTakeItBack)
+{
+    auto directory = directoryOf(3);
+    directory.markLeaving(at(0), {"s-1", 5});
+    directory.put(at(100), entry("s-1", 5, false, 9));
+    EXPECT_EQ(directory.vmEntries("shop", at(100))[1].state, VmState::Leaving);
+    EXPECT_TRUE(directory.remove(at(200), "s-1"));
+    directory.put(at(300), entry("s-1", 5, false, 10));
+    EXPECT_EQ(directory.vmEntries("shop", at(300))[1].state, VmState::Leaving);
+    directory.put(at(400), entry("s-1", 5, true, 11));
+    EXPECT_FALSE(directory.isLeavingUnconfirmed({"s-1", 5}));
+}
+
+// Guards against a statement that outlives its process, or that another process inherits.
+TEST(ServerDirectoryTest, LaterProcessIsNotLeaving)
+{
+    auto directory = directoryOf(3);
+    EXPECT_FALSE(directory.markLeaving(at(0), {"s-1", 4}));
+    EXPECT_FALSE(directory.markLeaving(at(0), {"unknown", 5}));
+    EXPECT_TRUE(directory.markLeaving(at(0), {"s-1", 5}));
+    directory.put(at(100), entry("s-1", 6));
+    EXPECT_EQ(directory.vmEntries("shop", at(100))[1].state, VmState::Live);
+    EXPECT_FALSE(directory.isLeavingUnconfirmed({"s-1", 5}));
+}
+
 // Guards against a late heartbeat of an earlier process that replaces the entry of the running one.
 TEST(ServerDirectoryTest, EarlierProcessIsIgnored)
 {
--- a/src/ownership/shard_p.h
+++ b/src/ownership/shard_p.h
@@ -122,6 +122,9 @@
     void on(const LeaseReplyEvent &)
     {
     }
+    void on(const ServerLeavingEvent &)
+    {
+    }
     template<typename Message> void onMessage(const PeerEvent &event);
     template<typename... Args>
     void decide(const EventType &type, const SliceRange &range, fmt::format_string<Args...> format, Args &&...args);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -362,6 +362,9 @@
     if (!isRelayed) {
         request->load = info.load;
         observeRate(*request, status, info);
+        if (info.isLeaving && !info.isOtherServer) {
+            m_shared.leavingServers().seen(m_now, request->serverIdentity);
+        }
     }
     if (info.isNotRun && !isRelayed) {
         request->serverRefusal = info.reason;
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -47,6 +47,7 @@
             info.requestsPerSecond = std::stod(std::string(rate));
         }
         info.reason = Reason::ServerShed;
+        info.isLeaving = !header("Leaving").empty();
         return info;
     };
     dialect.isStrippedHeader = [](std::string_view) {
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -182,6 +182,27 @@
     EXPECT_EQ(open.requests(), requests);
 }
 
+// Guards against a daemon that passes on that a server leaves and does not read it (DRAIN): the statement counts in a
+// success and in a refusal.
+TEST_F(WorkerTest, ServerThatSaysThatItLeavesIsReported)
+{
+    std::vector<Identity> reports;
+    shared.leavingServers().setReportHook([&](const Identity &it) { reports.push_back(it); });
+    const auto leaving = [](const std::string &status) {
+        return [status](int, const std::string &) {
+            return fmt::format("HTTP/1.1 {}\r\nRequest: r-1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok", status);
+        };
+    };
+    RawServer answering(leaving("200 OK"));
+    RawServer refusing(leaving("503 Busy"));
+    setRoutes({answering.address(), refusing.address()}, Distribution::Balanced);
+    listen();
+    for (int n = 0; n < 20 && reports.size() < 2; ++n) {
+        answerToRequest(n);
+    }
+    EXPECT_EQ(reports.size(), 2U);
+}
+
 // Guards against holding requests back from a server that no longer states a rate.
 TEST_F(WorkerTest, ServerThatStatesNoRateAnyMoreGetsAllRequests)
 {
--- a/src/replay/serialize_p.h
+++ b/src/replay/serialize_p.h
@@ -157,6 +157,11 @@
     archive(it.era);
 }
 
+template<class Archive> void serialize(Archive &archive, ServerLeavingEvent &it)
+{
+    archive(it.server);
+}
+
 template<class Archive> void save(Archive &archive, const LeaseReplyEvent &it)
 {
     const auto &call = it.call;
