--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -182,25 +182,37 @@
     EXPECT_EQ(open.requests(), requests);
 }
 
-// Guards against a daemon that passes on that a server leaves and does not read it (DRAIN): the statement counts in a
-// success and in a refusal.
-TEST_F(WorkerTest, ServerThatSaysThatItLeavesIsReported)
+namespace
+{
+class LeavingServerTest : public WorkerTest
 {
-    std::vector<Identity> reports;
-    shared.leavingServers().setReportHook([&](const Identity &it) { reports.push_back(it); });
-    const auto leaving = [](const std::string &status) {
-        return [status](int, const std::string &) {
+protected:
+    /// Sends one request to a server that says with `status` that it leaves.
+    void expectReport(const std::string &status)
+    {
+        std::vector<Identity> reports;
+        shared.leavingServers().setReportHook([&](const Identity &it) { reports.push_back(it); });
+        RawServer server([&](int, const std::string &) {
             return fmt::format("HTTP/1.1 {}\r\nRequest: r-1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok", status);
-        };
-    };
-    RawServer answering(leaving("200 OK"));
-    RawServer refusing(leaving("503 Busy"));
-    setRoutes({answering.address(), refusing.address()}, Distribution::Balanced);
-    listen();
-    for (int n = 0; n < 20 && reports.size() < 2; ++n) {
-        answerToRequest(n);
+        });
+        setRoutes({server.address()}, Distribution::Balanced);
+        listen();
+        answerToRequest(0);
+        EXPECT_EQ(reports, (std::vector<Identity>{{"shop-0", 0}}));
     }
-    EXPECT_EQ(reports.size(), 2U);
+};
+}
+
+// Guards against a daemon that passes on that a server leaves and does not read it (DRAIN).
+TEST_F(LeavingServerTest, SuccessOfAServerThatSaysThatItLeavesIsReported)
+{
+    expectReport("200 OK");
+}
+
+// The same for a refusal, which is the only answer of a server that takes no more requests.
+TEST_F(LeavingServerTest, RefusalOfAServerThatSaysThatItLeavesIsReported)
+{
+    expectReport("503 Busy");
 }
 
 // Guards against holding requests back from a server that no longer states a rate.
