--- a/include/galenarock/sharedsuspects.h
+++ b/include/galenarock/sharedsuspects.h
@@ -19,6 +19,7 @@
         const std::lock_guard lock(m_mutex);
         auto result = body(m_suspects);
         m_size.store(m_suspects.size(), std::memory_order_relaxed);
+        m_silences.store(m_suspects.unconfirmedSilences(), std::memory_order_relaxed);
         return result;
     }
 
@@ -34,6 +35,27 @@
     {
         send(locked([&](CrashSuspects &it) { return it.connectionLost(now, lost); }));
     }
+    void unanswered(Instant now, const LostRequest &lost)
+    {
+        send(locked([&](CrashSuspects &it) { return it.unanswered(now, lost); }));
+    }
+    void answered(const std::string &server, std::uint64_t boot)
+    {
+        if (m_silences.load(std::memory_order_relaxed) == 0) {
+            return; // most answers take no lock
+        }
+        locked([&](CrashSuspects &it) {
+            it.answered(server, boot);
+            return 0;
+        });
+    }
+    void stoppedAsPlanned(Instant now, const std::string &server, std::uint64_t boot)
+    {
+        locked([&](CrashSuspects &it) {
+            it.stoppedAsPlanned(now, server, boot);
+            return 0;
+        });
+    }
     void bootSeen(Instant now, const std::string &server, std::uint64_t boot)
     {
         send(locked([&](CrashSuspects &it) { return it.bootSeen(now, server, boot); }));
@@ -83,6 +105,7 @@
     };
     std::mutex m_mutex;
     std::atomic<std::size_t> m_size{0};
+    std::atomic<std::size_t> m_silences{0};
     CrashSuspects m_suspects;
 };
 
--- a/include/galenarock/suspects.h
+++ b/include/galenarock/suspects.h
@@ -66,6 +66,9 @@
     std::uint32_t serversToRefuse = 2;
     /// Time within which a new boot number confirms a crash; a server restarts within seconds.
     Duration confirmWithin = seconds(30);
+    /// The same after an attempt that got no answer. The entry of a server that crashed lapses within seconds.
+    Duration confirmSilentWithin = seconds(10);
+    Duration expireInterval = seconds(1);
     /// A suspect expires this long after its last crash.
     Duration lifetime = seconds(600);
     std::size_t maxEntries = 4'096;
@@ -73,7 +76,7 @@
     std::size_t maxPerCaller = 16;
 };
 
-/// A request that was in flight when its connection broke.
+/// A request that was in flight when its connection broke, or that got no answer.
 struct LostRequest
 {
     Fingerprint fingerprint = 0;
@@ -85,14 +88,22 @@
 
 /// Crash suspects of one daemon.
 ///
-/// Events: a connection lost with a request in flight, a boot number seen (health, grant reply), a success, a peer's
-/// report. Calls return the reports to be sent to all peers.
+/// Events: a connection lost with a request in flight, an attempt without an answer, a boot number seen (health, grant
+/// reply), an answer, a success, a planned stop, a peer's report. Calls return the reports to be sent to all peers.
+///
+/// An attempt without an answer says little: the server may be slow or cut off. It counts like a lost connection only
+/// if the process answers nothing to this daemon afterwards, is then found to be gone, and did not stop as planned.
 class CrashSuspects
 {
 public:
     explicit CrashSuspects(SuspectSettings settings = {});
 
     std::vector<SuspectReport> connectionLost(Instant now, const LostRequest &lost);
+    std::vector<SuspectReport> unanswered(Instant now, const LostRequest &lost);
+    /// The process has answered something: what it has not answered so far did not crash it.
+    void answered(const std::string &server, std::uint64_t boot);
+    /// The process had announced its end; no request is to blame for it.
+    void stoppedAsPlanned(Instant now, const std::string &server, std::uint64_t boot);
     std::vector<SuspectReport> bootSeen(Instant now, const std::string &server, std::uint64_t boot);
     /// Call when a request with this fingerprint got a complete response.
     std::vector<SuspectReport> succeeded(Instant now, Fingerprint fingerprint);
@@ -107,6 +118,11 @@
     {
         return m_suspects.size();
     }
+    /// Attempts without an answer whose servers are not known to live or to be gone.
+    std::size_t unconfirmedSilences() const
+    {
+        return m_silences;
+    }
 
 private:
     struct Suspect
@@ -119,12 +135,17 @@
     {
         LostRequest lost;
         Instant expiresAt{};
+        bool isSilence = false;
     };
     struct SeenBoot
     {
         std::uint64_t boot = 0;
         Instant seenAt{};
     };
+    std::vector<SuspectReport> lose(Instant now, const LostRequest &lost, bool isSilence);
+    bool isPlanned(const LostRequest &lost) const;
+    template<typename Condition> void erasePending(const Condition &condition);
+    void expireIfDue(Instant now);
     std::uint64_t lastSeenBoot(const std::string &server) const;
     Suspect *suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller);
     std::optional<SuspectReport> confirm(Instant now, const LostRequest &lost);
@@ -135,7 +156,11 @@
     std::unordered_map<Fingerprint, Suspect> m_suspects;
     std::unordered_map<std::uint64_t, std::size_t> m_perCaller;
     std::vector<Pending> m_pending;
+    std::size_t m_silences = 0;
     std::map<std::string, SeenBoot> m_boots;
+    /// Last process of each name that stopped as planned.
+    std::map<std::string, SeenBoot> m_planned;
+    Instant m_nextExpiryAt{};
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -151,6 +151,9 @@
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
         shared.suspects().bootSeen(MonotonicClock::now(), server, boot);
     };
+    hooks.stoppedAsPlanned = [this](const Identity &server) {
+        shared.suspects().stoppedAsPlanned(MonotonicClock::now(), server.name, server.boot);
+    };
     hooks.takeLoads = [this] {
         return shared.keyLoads().takeAll();
     };
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -171,10 +171,15 @@
     if (!entry) {
         return;
     }
-    const auto boot = entry->identity.boot;
+    const auto process = entry->identity;
+    const bool isPlanned = entry->isDraining;
     if (m_servers.remove(now, key.name)) {
         logEvent(Events::ServerGone, "{} is not registered any more", key.name);
-        m_hooks.bootSeen(key.name, boot + 1);
+        if (isPlanned) {
+            m_hooks.stoppedAsPlanned(process);
+        } else {
+            m_hooks.bootSeen(process.name, process.boot + 1);
+        }
         serversChanged();
     }
 }
@@ -246,6 +251,10 @@
         return;
     }
     const auto &entry = parsed.server;
+    const auto *before = m_servers.find(entry.identity.name);
+    if (before && before->isDraining && before->identity != entry.identity) {
+        m_hooks.stoppedAsPlanned(before->identity);
+    }
     if (!m_servers.put(now, entry)) {
         return;
     }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -32,6 +32,8 @@
     std::function<void(const std::vector<Member> &)> relaysChanged;
     std::function<void(const std::shared_ptr<const RoutingSnapshot> &)> snapshotChanged;
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
+    /// A process that had announced its end is gone.
+    std::function<void(const Identity &server)> stoppedAsPlanned;
     std::function<std::vector<KeyLoad>()> takeLoads;
     std::function<void(const PeerEvent &)> requestMessage;
     /// Requests per second that servers state as their limit.
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -147,6 +147,7 @@
     void recordAttempt(PendingRequest &request, const AttemptResult &result, Reason reason);
     void noteReach(const PendingRequest &request, const AttemptResult &result);
     void reportLostConnection(const PendingRequest &request);
+    void reportSilence(const PendingRequest &request);
     void retryOrRefuse(const Pending &request, const Refusal &refusal, const AttemptResult &result);
     void handleExchangeEnd(const Pending &request, bool complete);
     void answer(const Pending &request);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -188,6 +188,8 @@
         request.traffic->admission.finished(m_now, latency);
     } else if (reason == Reason::ConnectionLost || reason == Reason::ResponseCut) {
         reportLostConnection(request);
+    } else if (result.sent && request.responseStatus == 0) {
+        reportSilence(request);
     }
 }
 
@@ -196,15 +198,32 @@
 {
     if (request.responseStatus != 0) {
         m_shared.serverReach().answered(m_now);
+        m_shared.suspects().answered(request.serverIdentity.name, request.serverIdentity.boot);
     } else if (!result.complete) {
         m_shared.serverReach().failed(m_now, request.serverIdentity);
     }
 }
 
+namespace
+{
+LostRequest lostRequest(const PendingRequest &request)
+{
+    return {request.fingerprint, request.caller, request.serverIdentity.name, request.serverIdentity.boot};
+}
+}
+
 void RequestHandler::reportLostConnection(const PendingRequest &request)
 {
-    m_shared.suspects().connectionLost(
-        m_now, {request.fingerprint, request.caller, request.serverIdentity.name, request.serverIdentity.boot});
+    m_shared.suspects().connectionLost(m_now, lostRequest(request));
+}
+
+/// An attempt ended without an answer: its server may have crashed and its machine fallen silent. While this VM reaches
+/// no server at all, silence says nothing about one.
+void RequestHandler::reportSilence(const PendingRequest &request)
+{
+    if (!m_shared.serverReach().isCutOff()) {
+        m_shared.suspects().unanswered(m_now, lostRequest(request));
+    }
 }
 
 void RequestHandler::retryOrRefuse(const Pending &request, const Refusal &refusal, const AttemptResult &result)
@@ -319,6 +338,10 @@
         (request->idempotent || request->streamsBody || hasNoRecord) && request->uncheckedTicket == 0;
     const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
     if (request->attempt && mayCancel) {
+        const bool isSilent = request->server != noServer && request->responseStatus == 0;
+        if (isSilent && UpstreamClient::isSent(request->attempt)) {
+            reportSilence(*request);
+        }
         m_upstream.cancel(request->attempt);
         request->attempt = nullptr;
         if (request->server != noServer) {
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -215,6 +215,36 @@
     expectReport("503 Busy");
 }
 
+// Servers take a request, and their machines fall silent. Guards against sending it to further servers when it comes
+// again (BUDGET).
+TEST_F(WorkerTest, RequestWhoseSilentServersAreGoneIsRefused)
+{
+    routeTimeoutMs = 500;
+    repeatability = Repeatability::AtMostOnce;
+    const auto fallSilent = [](int, const std::string &) {
+        const timespec pause{1, 0};
+        nanosleep(&pause, nullptr);
+        return std::string();
+    };
+    RawServer first(fallSilent);
+    RawServer second(fallSilent);
+    setRoutes({first.address(), second.address()}, Distribution::Balanced);
+    listen();
+    const auto servers = shared.snapshot()->find("shop")->servers();
+    for (const auto &it : servers) {
+        shared.suspects().bootSeen(MonotonicClock::now(), it.identity.name, 1);
+    }
+    for (int n = 0; n < 20 && (first.requests() == 0 || second.requests() == 0); ++n) {
+        answerToRequest(0);
+    }
+    for (const auto &it : servers) {
+        shared.suspects().bootSeen(MonotonicClock::now(), it.identity.name, 2);
+    }
+    const int before = first.requests() + second.requests();
+    EXPECT_NE(answerToRequest(0).find("crash"), std::string::npos);
+    EXPECT_EQ(first.requests() + second.requests(), before);
+}
+
 // Guards against holding requests back from a server that no longer states a rate.
 TEST_F(WorkerTest, ServerThatStatesNoRateAnyMoreGetsAllRequests)
 {
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -284,6 +284,11 @@
     release(attempt);
 }
 
+bool UpstreamClient::isSent(const Attempt *attempt)
+{
+    return attempt->sends > 0;
+}
+
 void UpstreamClient::closeAfterResponse(Attempt *attempt)
 {
     curl_easy_setopt(attempt->handle, CURLOPT_FORBID_REUSE, 1L);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -112,6 +112,8 @@
     Attempt *start(AttemptRequest request, AttemptHooks hooks);
     /// Ends an attempt without calling onDone and closes its connection, which cancels the request at the server.
     void cancel(Attempt *attempt);
+    /// Whether the server may have received a part of the request.
+    static bool isSent(const Attempt *attempt);
     /// Closes the connection of a running attempt when its response has ended.
     static void closeAfterResponse(Attempt *attempt);
     /// Continues a body that was paused by readBody or onData. Hooks may run before it returns.
--- a/src/requests/suspects.cpp
+++ b/src/requests/suspects.cpp
@@ -140,8 +140,52 @@
     return SuspectReport{lost.fingerprint, suspect->caller, suspect->servers, false};
 }
 
+template<typename Condition> void CrashSuspects::erasePending(const Condition &condition)
+{
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), condition), m_pending.end());
+    m_silences = static_cast<std::size_t>(
+        std::count_if(m_pending.begin(), m_pending.end(), [](const Pending &it) { return it.isSilence; }));
+}
+
+bool CrashSuspects::isPlanned(const LostRequest &lost) const
+{
+    const auto it = m_planned.find(lost.server);
+    return it != m_planned.end() && it->second.boot == lost.boot;
+}
+
+void CrashSuspects::expireIfDue(Instant now)
+{
+    if (now < m_nextExpiryAt) {
+        return;
+    }
+    m_nextExpiryAt = now + m_settings.expireInterval;
+    expire(now);
+}
+
 std::vector<SuspectReport> CrashSuspects::connectionLost(Instant now, const LostRequest &lost)
 {
+    return lose(now, lost, false);
+}
+
+std::vector<SuspectReport> CrashSuspects::unanswered(Instant now, const LostRequest &lost)
+{
+    return lose(now, lost, true);
+}
+
+void CrashSuspects::answered(const std::string &server, std::uint64_t boot)
+{
+    erasePending([&](const Pending &it) { return it.isSilence && it.lost.boot == boot && it.lost.server == server; });
+}
+
+void CrashSuspects::stoppedAsPlanned(Instant now, const std::string &server, std::uint64_t boot)
+{
+    m_planned[server] = {boot, now};
+    erasePending([&](const Pending &it) { return it.lost.boot == boot && it.lost.server == server; });
+}
+
+std::vector<SuspectReport> CrashSuspects::lose(Instant now, const LostRequest &lost, bool isSilence)
+{
+    expireIfDue(now);
     const auto lastSeen = lastSeenBoot(lost.server);
     auto pending = lost;
     pending.boot = lost.boot != 0 ? lost.boot : lastSeen;
@@ -149,19 +193,26 @@
         // Without an earlier boot number, a restart cannot be distinguished from a broken connection.
         return {};
     }
+    if (isPlanned(pending)) {
+        return {};
+    }
     if (lastSeen != 0 && lastSeen != pending.boot) {
         const auto report = confirm(now, pending);
         return report ? std::vector{*report} : std::vector<SuspectReport>();
     }
     if (m_pending.size() >= m_settings.maxEntries) {
+        m_silences -= m_pending.front().isSilence ? 1 : 0;
         m_pending.erase(m_pending.begin());
     }
-    m_pending.push_back({std::move(pending), now + m_settings.confirmWithin});
+    const auto confirmWithin = isSilence ? m_settings.confirmSilentWithin : m_settings.confirmWithin;
+    m_pending.push_back({std::move(pending), now + confirmWithin, isSilence});
+    m_silences += isSilence ? 1 : 0;
     return {};
 }
 
 std::vector<SuspectReport> CrashSuspects::bootSeen(Instant now, const std::string &server, std::uint64_t boot)
 {
+    expireIfDue(now);
     m_boots[server] = {boot, now};
     std::vector<SuspectReport> reports;
     const auto isConfirmed = [&](const Pending &it) {
@@ -175,7 +226,7 @@
             reports.push_back(*report);
         }
     }
-    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isConfirmed), m_pending.end());
+    erasePending(isConfirmed);
     return reports;
 }
 
@@ -185,7 +236,7 @@
         const auto isSame = [&](const Pending &it) {
             return it.lost.fingerprint == fingerprint;
         };
-        m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isSame), m_pending.end());
+        erasePending(isSame);
     }
     const auto it = m_suspects.find(fingerprint);
     if (it == m_suspects.end()) {
@@ -198,6 +249,7 @@
 
 void CrashSuspects::reportReceived(Instant now, const SuspectReport &report)
 {
+    expireIfDue(now);
     if (report.cleared) {
         erase(report.fingerprint);
         return;
@@ -242,9 +294,11 @@
     const auto isOver = [&](const Pending &it) {
         return now >= it.expiresAt;
     };
-    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isOver), m_pending.end());
-    for (auto it = m_boots.begin(); it != m_boots.end();) {
-        it = now - it->second.seenAt >= m_settings.lifetime ? m_boots.erase(it) : std::next(it);
+    erasePending(isOver);
+    for (auto *boots : {&m_boots, &m_planned}) {
+        for (auto it = boots->begin(); it != boots->end();) {
+            it = now - it->second.seenAt >= m_settings.lifetime ? boots->erase(it) : std::next(it);
+        }
     }
 }
 
--- a/src/requests/tests/suspectstest.cpp
+++ b/src/requests/tests/suspectstest.cpp
@@ -54,6 +54,62 @@
     EXPECT_TRUE(suspects.bootSeen(at(40), "s1", 12).empty()) << "too late to be the cause";
 }
 
+// A crashed machine falls silent, so no connection ends. Guards against a crashing request that is never refused
+// (BUDGET).
+TEST(CrashSuspects, silenceOfAServerThatIsThenGoneCounts)
+{
+    CrashSuspects suspects;
+    for (int n = 0; n < 2; ++n) {
+        const auto server = "s" + std::to_string(n);
+        EXPECT_TRUE(suspects.unanswered(at(n), {5, 1, server, 10}).empty());
+        EXPECT_EQ(suspects.bootSeen(at(n + 2), server, 11).size(), 1u);
+    }
+    EXPECT_TRUE(suspects.refusalFor(at(4), 5));
+    EXPECT_EQ(suspects.unconfirmedSilences(), 0u);
+}
+
+// The same when the entry of the server lapses before the attempt ends.
+TEST(CrashSuspects, silenceOfAServerThatIsKnownToBeGoneCounts)
+{
+    CrashSuspects suspects;
+    suspects.bootSeen(at(0), "s1", 11);
+    EXPECT_EQ(suspects.unanswered(at(1), {5, 1, "s1", 10}).size(), 1u);
+}
+
+// Guards against refusing a harmless request because its servers were slow, or this daemon was cut from them, and were
+// replaced later.
+TEST(CrashSuspects, silenceOfAServerThatAnswersOrStopsAsPlannedDoesNotCount)
+{
+    CrashSuspects suspects;
+    suspects.unanswered(at(0), {5, 1, "slow", 10});
+    suspects.answered("slow", 9);
+    EXPECT_EQ(suspects.unconfirmedSilences(), 1u);
+    suspects.answered("slow", 10);
+    EXPECT_EQ(suspects.unconfirmedSilences(), 0u);
+    EXPECT_TRUE(suspects.bootSeen(at(1), "slow", 11).empty());
+    suspects.unanswered(at(2), {5, 1, "planned", 10});
+    suspects.stoppedAsPlanned(at(3), "planned", 10);
+    EXPECT_TRUE(suspects.unanswered(at(4), {6, 1, "planned", 10}).empty());
+    EXPECT_TRUE(suspects.bootSeen(at(5), "planned", 11).empty());
+    suspects.unanswered(at(6), {5, 1, "late", 10});
+    EXPECT_TRUE(suspects.bootSeen(at(17), "late", 11).empty()) << "too late to be the cause";
+    EXPECT_EQ(suspects.size(), 0u);
+}
+
+// Guards against attempts without an answer that are kept for ever.
+TEST(CrashSuspects, silencesAreBoundedInNumberAndTime)
+{
+    SuspectSettings settings;
+    settings.maxEntries = 6;
+    CrashSuspects suspects(settings);
+    for (Fingerprint n = 0; n < 50; ++n) {
+        suspects.unanswered(at(0), {n, n, "s1", 10});
+    }
+    EXPECT_EQ(suspects.unconfirmedSilences(), 6u);
+    suspects.unanswered(at(11), {100, 1, "s2", 10});
+    EXPECT_EQ(suspects.unconfirmedSilences(), 1u);
+}
+
 // Guards against refusing a harmless request that was in flight together with the crashing one.
 TEST(CrashSuspects, successClears)
 {
