--- a/src/daemon/callerthread.cpp
+++ b/src/daemon/callerthread.cpp
@@ -16,7 +16,9 @@
 constexpr std::size_t RingCapacity = 4'096;
 /// Marks epoll events of upstream sockets; the low 32 bits hold the file descriptor.
 constexpr std::uint64_t UpstreamTag = 1ULL << 32;
-constexpr long MaxCachedConnections = 256;
+/// More than the servers of a large fleet: below their number each call would open a connection. Fewer than the
+/// descriptors of a process.
+constexpr long MaxCachedConnections = 2'048;
 constexpr int MaxWaitMs = 50;
 }
 
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -123,6 +124,100 @@
     RawServer m_server; ///< Last member: its thread uses the others.
 };
 
+/// A service of many servers: one thread that listens on many ports and accepts each call.
+class ManyServers
+{
+public:
+    explicit ManyServers(std::size_t n)
+    {
+        for (std::size_t it = 0; it < n; ++it) {
+            m_listeners.push_back(listenOnAFreePort());
+        }
+        m_thread = Thread("many-servers", [this] { run(); });
+    }
+    ~ManyServers()
+    {
+        m_stop = true;
+        m_thread.join();
+        for (const auto &list : {m_listeners, m_connections}) {
+            for (const int fd : list) {
+                close(fd);
+            }
+        }
+    }
+    std::vector<std::string> addresses() const
+    {
+        std::vector<std::string> list;
+        for (const int fd : m_listeners) {
+            sockaddr_in address{};
+            socklen_t n = sizeof address;
+            getsockname(fd, reinterpret_cast<sockaddr *>(&address), &n);
+            list.push_back("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+        }
+        return list;
+    }
+    std::size_t accepted() const
+    {
+        return m_accepted;
+    }
+
+private:
+    static int listenOnAFreePort()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        listen(fd, 16);
+        return fd;
+    }
+
+    void run()
+    {
+        while (!m_stop) {
+            std::vector<pollfd> fds;
+            for (const auto &list : {m_listeners, m_connections}) {
+                for (const int fd : list) {
+                    fds.push_back({fd, POLLIN, 0});
+                }
+            }
+            poll(fds.data(), fds.size(), 20);
+            for (std::size_t n = 0; n < fds.size(); ++n) {
+                if (fds[n].revents == 0) {
+                    continue;
+                }
+                if (n < m_listeners.size()) {
+                    m_connections.push_back(accept(fds[n].fd, nullptr, nullptr));
+                    ++m_accepted;
+                } else {
+                    answer(fds[n].fd);
+                }
+            }
+        }
+    }
+
+    void answer(int fd)
+    {
+        char buf[4096];
+        const auto n = read(fd, buf, sizeof buf);
+        if (n <= 0) {
+            m_connections.erase(std::remove(m_connections.begin(), m_connections.end(), fd), m_connections.end());
+            close(fd);
+            return;
+        }
+        constexpr std::string_view accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        const bool isWhole = buf[n - 1] == '}'; // the body of a call, `{}`
+        EXPECT_TRUE(!isWhole || write(fd, accepted.data(), accepted.size()) > 0);
+    }
+
+    std::vector<int> m_listeners;
+    std::vector<int> m_connections; ///< Used by the thread only, while it runs.
+    std::atomic<std::size_t> m_accepted{0};
+    std::atomic<bool> m_stop{false};
+    Thread m_thread;
+};
+
 class LeaseCallerTest : public testing::Test
 {
 protected:
@@ -415,3 +510,18 @@
     EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Refused);
     EXPECT_EQ(server.requests(), 1);
 }
+
+// Guards against lease calls that cost a connection each, and with the check of a new connection two, because the fleet
+// has more servers than the caller keeps connections.
+TEST_F(LeaseCallerTest, ConnectionToEachServerOfALargeFleetIsKept)
+{
+    constexpr std::size_t servers = 325;
+    ManyServers fleet(servers);
+    const auto addresses = fleet.addresses();
+    for (int round = 0; round < 3; ++round) {
+        for (const auto &it : addresses) {
+            EXPECT_EQ(call(it, Instant::max()).status, LeaseCallStatus::Accepted);
+        }
+        EXPECT_EQ(fleet.accepted(), servers) << "round " << round;
+    }
+}
