Let no other requests of a caller hide the one that crashes servers

Cause: the table took 16 suspects of one address and noted no further one.

Evidence: CrashSuspects.otherRequestsOfACallerDoNotHideTheCrashingOne failed before. requestWithMoreCrashesKeepsItsPlace guards the new order of eviction; it held before as well.

Change: 1,024 suspects of one address; a further one displaces that with the fewest crashes, of these the oldest. The same order holds when the whole table is full.

--- a/include/galenarock/suspects.h
+++ b/include/galenarock/suspects.h
@@ -72,8 +72,9 @@
     /// A suspect expires this long after its last crash.
     Duration lifetime = seconds(600);
     std::size_t maxEntries = 4'096;
-    /// Maximum fingerprints of one caller in the table; further ones are not recorded.
-    std::size_t maxPerCaller = 16;
+    /// Maximum fingerprints of one caller address, behind which there may be many callers. A further one displaces that
+    /// with the fewest crashes.
+    std::size_t maxPerCaller = 1'024;
 };
 
 /// A request that was in flight when its connection broke, or that got no answer.
@@ -147,10 +148,11 @@
     template<typename Condition> void erasePending(const Condition &condition);
     void expireIfDue(Instant now);
     std::uint64_t lastSeenBoot(const std::string &server) const;
-    Suspect *suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller);
+    Suspect &suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller);
     std::optional<SuspectReport> confirm(Instant now, const LostRequest &lost);
     void erase(Fingerprint fingerprint);
-    void evictOldest();
+    /// Removes the suspect with the fewest crashes, of these the oldest; of one caller only, if it is set.
+    void evictWeakest(std::optional<std::uint64_t> caller);
 
     SuspectSettings m_settings;
     std::unordered_map<Fingerprint, Suspect> m_suspects;
--- a/src/requests/suspects.cpp
+++ b/src/requests/suspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -102,42 +103,50 @@
     m_suspects.erase(it);
 }
 
-void CrashSuspects::evictOldest()
+void CrashSuspects::evictWeakest(std::optional<std::uint64_t> caller)
 {
-    if (m_suspects.empty()) {
-        return;
+    auto weakest = m_suspects.end();
+    const auto strength = [](const Suspect &it) {
+        return std::make_pair(countServers(it.servers), it.expiresAt);
+    };
+    for (auto it = m_suspects.begin(); it != m_suspects.end(); ++it) {
+        if (caller && it->second.caller != *caller) {
+            continue;
+        }
+        if (weakest == m_suspects.end() || strength(it->second) < strength(weakest->second)) {
+            weakest = it;
+        }
+    }
+    if (weakest != m_suspects.end()) {
+        erase(weakest->first);
     }
-    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &a, const auto &b) {
-        return a.second.expiresAt < b.second.expiresAt;
-    });
-    erase(oldest->first);
 }
 
-CrashSuspects::Suspect *CrashSuspects::suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller)
+CrashSuspects::Suspect &CrashSuspects::suspectFor(Instant now, Fingerprint fingerprint, std::uint64_t caller)
 {
     const auto known = m_suspects.find(fingerprint);
     if (known != m_suspects.end()) {
         known->second.expiresAt = now + m_settings.lifetime;
-        return &known->second;
+        return known->second;
     }
     const auto n = m_perCaller.find(caller);
     if (n != m_perCaller.end() && n->second >= m_settings.maxPerCaller) {
-        return nullptr;
+        evictWeakest(caller);
     }
     if (m_suspects.size() >= m_settings.maxEntries) {
-        evictOldest();
+        evictWeakest({});
     }
     ++m_perCaller[caller];
-    return &m_suspects.emplace(fingerprint, Suspect{caller, {}, now + m_settings.lifetime}).first->second;
+    return m_suspects.emplace(fingerprint, Suspect{caller, {}, now + m_settings.lifetime}).first->second;
 }
 
 std::optional<SuspectReport> CrashSuspects::confirm(Instant now, const LostRequest &lost)
 {
-    auto *suspect = suspectFor(now, lost.fingerprint, lost.caller);
-    if (!suspect || !addServer(suspect->servers, nameHash(lost.server))) {
+    auto &suspect = suspectFor(now, lost.fingerprint, lost.caller);
+    if (!addServer(suspect.servers, nameHash(lost.server))) {
         return {};
     }
-    return SuspectReport{lost.fingerprint, suspect->caller, suspect->servers, false};
+    return SuspectReport{lost.fingerprint, suspect.caller, suspect.servers, false};
 }
 
 template<typename Condition> void CrashSuspects::erasePending(const Condition &condition)
@@ -254,13 +263,10 @@
         erase(report.fingerprint);
         return;
     }
-    auto *suspect = suspectFor(now, report.fingerprint, report.caller);
-    if (!suspect) {
-        return;
-    }
+    auto &suspect = suspectFor(now, report.fingerprint, report.caller);
     for (const auto it : report.servers) {
         if (it != 0) {
-            addServer(suspect->servers, it);
+            addServer(suspect.servers, it);
         }
     }
 }
--- a/src/requests/tests/suspectstest.cpp
+++ b/src/requests/tests/suspectstest.cpp
@@ -168,6 +168,36 @@
     EXPECT_EQ(suspects.size(), 6u);
 }
 
+// Guards against a crashing request that is not noted because other requests of its caller's address, such as that of a
+// proxy, were under way at the crashed servers.
+TEST(CrashSuspects, otherRequestsOfACallerDoNotHideTheCrashingOne)
+{
+    CrashSuspects suspects;
+    for (int round = 0; round < 2; ++round) {
+        const auto server = "s" + std::to_string(round);
+        for (Fingerprint n = 0; n < 40; ++n) {
+            suspects.connectionLost(at(round), {1'000 + 100 * static_cast<Fingerprint>(round) + n, 1, server, 10});
+        }
+        crash(suspects, round, server, 5, 1);
+    }
+    EXPECT_TRUE(suspects.refusalFor(at(2), 5));
+}
+
+// Guards against losing a request that crashed two servers, when many others of its caller are recorded.
+TEST(CrashSuspects, requestWithMoreCrashesKeepsItsPlace)
+{
+    SuspectSettings settings;
+    settings.maxPerCaller = 4;
+    CrashSuspects suspects(settings);
+    crash(suspects, 0, "s1", 5);
+    crash(suspects, 0, "s2", 5);
+    for (Fingerprint n = 100; n < 150; ++n) {
+        crash(suspects, 1, "s3", n);
+    }
+    EXPECT_TRUE(suspects.refusalFor(at(2), 5));
+    EXPECT_EQ(suspects.size(), 4u);
+}
+
 // Guards against different requests with the same fingerprint, and against uploads whose bodies must be buffered.
 TEST(CrashSuspects, fingerprintSeparatesParts)
 {
