Log over which connection a refusal of a server came, and which answers were discarded

What an on-call engineer could not see: whether a refusal that was believed is a copy of an earlier one. A copy comes over a kept connection, often sooner than a round trip; and an answer with another id was thrown away in silence.

Event 220 server-refused has the connection (new or kept, local port, address, answers on it before), whether the response names the request, and the time since the request was sent; event 221 answer-mismatched has the same with the id that was due and the one that came. Both are counted: galenarock_server_refusals_total{connection,id} and galenarock_mismatched_answers_total. What is known of a connection moves from upstream.cpp to OpenConnections, with tests. No decision changes.

--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -61,6 +61,8 @@
     /// Keeps a request whose key has no owner, or refuses it when no owner is expected in time.
     void waitForOwner(const Pending &request, Reason reason);
     std::vector<std::string> makeRoutedHeaders(const PendingRequest &request) const;
+    void reportServerRefusal(const PendingRequest &request, unsigned status, const ResponseInfo &info) const;
+    void reportMismatch(const PendingRequest &request, unsigned status, const std::string &id) const;
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
     bool startStreaming(const Pending &request);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -345,6 +345,25 @@
     return lines;
 }
 
+/// Tells a refusal from a copy of an earlier one: a copy comes over a kept connection, often at once.
+void RequestHandler::reportServerRefusal(const PendingRequest &request, unsigned status, const ResponseInfo &info) const
+{
+    const auto connection = UpstreamClient::connectionOf(request.attempt);
+    const auto labels = fmt::format("connection=\"{}\",id=\"{}\"", connection.isNew ? "new" : "kept",
+                                    info.id.empty() ? "none" : "same");
+    m_shared.metrics().counter("galenarock_server_refusals_total", labels).add();
+    logEvent(Events::ServerRefused, "request {}: status {} of {}, not run, {}, over {}", request.requestId, status,
+             request.serverIdentity.name, info.id.empty() ? "without an id" : "with its id", toString(connection));
+}
+
+void RequestHandler::reportMismatch(const PendingRequest &request, unsigned status, const std::string &id) const
+{
+    m_shared.metrics().counter("galenarock_mismatched_answers_total").add();
+    logEvent(Events::AnswerMismatched, "request {}: discarded status {} of {} with the id '{}', over {}",
+             request.requestId, status, request.serverIdentity.name, id,
+             toString(UpstreamClient::connectionOf(request.attempt)));
+}
+
 bool RequestHandler::handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers)
 {
     FieldReader fields(headers);
@@ -353,6 +372,7 @@
     const bool needsId = status < 300 && !info.isNotRun;
     const bool isMismatched = info.id != request->requestId && (needsId || !info.id.empty());
     if (isMismatched || fields.isAmbiguous()) {
+        reportMismatch(*request, status, info.id);
         request->defect = Reason::ResponseCut;
         return false;
     }
@@ -367,6 +387,7 @@
         }
     }
     if (info.isNotRun && !isRelayed) {
+        reportServerRefusal(*request, status, info);
         request->serverRefusal = info.reason;
         request->refusedBy.push_back(request->serverIdentity.name);
         if (info.id.empty()) {
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -92,6 +92,24 @@
     EXPECT_EQ(server.connections(), 1);
 }
 
+// Guards against metrics from which a refusal over a kept connection, which may be a copy, cannot be told from others,
+// and which do not show discarded answers.
+TEST_F(StaleAnswerTest, MetricsTellOverWhichConnectionARefusalCame)
+{
+    RawServer server(
+        [](int n, const std::string &request) { return refusal(503, n <= 2 ? idOf(request) : "another id"); });
+    start({server.address()});
+    const auto count = [&](const char *labels) {
+        return metrics.counter("galenarock_server_refusals_total", labels).value();
+    };
+    EXPECT_EQ(statusOf("r-1"), 503);
+    EXPECT_EQ(count("connection=\"new\",id=\"same\""), 1U);
+    EXPECT_EQ(statusOf("r-2"), 503);
+    EXPECT_EQ(count("connection=\"kept\",id=\"same\""), 1U);
+    EXPECT_EQ(statusOf("r-3"), 502);
+    EXPECT_EQ(metrics.counter("galenarock_mismatched_answers_total").value(), 1U);
+}
+
 // Guards against "not run" for a request that the server runs, when the server sends the refusal of another request
 // first (REFUSED), and against running the request at a second server (TWICE).
 TEST_F(StaleAnswerTest, RefusalOfAnotherRequestLeavesTheOutcomeUnknown)
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/sockets_p.h"
@@ -34,6 +33,9 @@
     bool wasPaused = false;
     /// The socket that was opened for this attempt.
     curl_socket_t newSocket = CURL_SOCKET_BAD;
+    /// The socket over which it was sent.
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    Instant sentAt{};
     /// `timeout` of the response's Keep-Alive header; 0 when there is none.
     long advertisedIdleSeconds = 0;
 };
@@ -42,6 +44,9 @@
 {
 constexpr std::size_t MaxIdleHandles = 64;
 
+/// Connections of this thread's clients.
+thread_local OpenConnections openConnections;
+
 /// `timeout` of a Keep-Alive field in seconds; 0 when there is none.
 long advertisedIdle(std::string_view keepAlive)
 {
@@ -58,6 +63,9 @@
 {
     attempt->headDelivered = true;
     attempt->advertisedIdleSeconds = advertisedIdle(fieldOf(attempt->head.fields(), "Keep-Alive"));
+    if (auto *connection = openConnections.at(attempt->socket)) {
+        ++connection->answers;
+    }
     return attempt->hooks.onHead(attempt->head.status(), attempt->head.takeFields());
 }
 
@@ -109,18 +117,6 @@
     return newConnections > 0;
 }
 
-/// Both ends of a connection to a server.
-struct Endpoints
-{
-    std::string serverIp;
-    int serverPort = 0;
-    int localPort = 0;
-};
-
-/// The open connections of this thread's clients by socket: libcurl 7.88 does not tell the socket of a kept connection
-/// before a request is sent over it.
-thread_local std::unordered_map<int, Endpoints> openConnections;
-
 int noteSocket(void *userData, curl_socket_t fd, curlsocktype purpose)
 {
     auto *attempt = static_cast<Attempt *>(userData);
@@ -130,23 +126,10 @@
 
 int closeSocket(void *, curl_socket_t fd)
 {
-    openConnections.erase(fd);
+    openConnections.closed(fd);
     return close(fd);
 }
 
-/// Whether the server has sent bytes on a kept connection, or closed it, since the last response. Such bytes belong to
-/// no request; libcurl 7.88 would read them as the start of the next response.
-bool hasUnreadBytes(const Endpoints &ends)
-{
-    for (const auto &[fd, it] : openConnections) {
-        if (it.localPort == ends.localPort && it.serverPort == ends.serverPort && it.serverIp == ends.serverIp) {
-            char byte = 0;
-            return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
-        }
-    }
-    return false;
-}
-
 /// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
 /// the response. This callback runs before each transmission and aborts the second one.
 int prereqCallback(void *userData, char *serverIp, char *, int serverPort, int localPort)
@@ -156,17 +139,21 @@
         attempt->resendStopped = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    const bool isNew = isOnNewConnection(attempt->handle);
     const Endpoints ends{serverIp, serverPort, localPort};
-    if (isOnNewConnection(attempt->handle)) {
-        openConnections[attempt->newSocket] = ends;
-    } else if (hasUnreadBytes(ends)) {
+    if (isNew) {
+        openConnections.opened(attempt->newSocket, ends);
+    }
+    attempt->socket = isNew ? attempt->newSocket : openConnections.find(ends);
+    if (!isNew && hasUnreadBytes(attempt->socket)) {
         attempt->foundUnreadBytes = true;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (attempt->hooks.beforeSend && !attempt->hooks.beforeSend(isOnNewConnection(attempt->handle))) {
+    if (attempt->hooks.beforeSend && !attempt->hooks.beforeSend(isNew)) {
         return CURL_PREREQFUNC_ABORT;
     }
     ++attempt->sends;
+    attempt->sentAt = MonotonicClock::now();
     return CURL_PREREQFUNC_OK;
 }
 
@@ -289,6 +276,16 @@
     return attempt->sends > 0;
 }
 
+AttemptConnection UpstreamClient::connectionOf(const Attempt *attempt)
+{
+    const auto *connection = openConnections.at(attempt->socket);
+    if (!connection) {
+        return {};
+    }
+    const auto earlier = connection->answers - (attempt->headDelivered ? 1 : 0);
+    return {connection->ends, isOnNewConnection(attempt->handle), earlier, MonotonicClock::now() - attempt->sentAt};
+}
+
 void UpstreamClient::closeAfterResponse(Attempt *attempt)
 {
     curl_easy_setopt(attempt->handle, CURLOPT_FORBID_REUSE, 1L);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -13,6 +13,7 @@
 #include <galenarock/base.h>
 
 #include "base/responseheadreader_p.h"
+#include "openconnections_p.h"
 
 /// The server side of the proxy: attempts over persistent connections with libcurl's multi interface.
 namespace Galenarock
@@ -114,6 +115,8 @@
     void cancel(Attempt *attempt);
     /// Whether the server may have received a part of the request.
     static bool isSent(const Attempt *attempt);
+    /// The connection of an attempt whose response has begun; empty before the request was sent.
+    static AttemptConnection connectionOf(const Attempt *attempt);
     /// Closes the connection of a running attempt when its response has ended.
     static void closeAfterResponse(Attempt *attempt);
     /// Continues a body that was paused by readBody or onData. Hooks may run before it returns.
