Reproduce REFUSED: five tests in which the copy of a refusal is believed

What callers saw: a promise that a request has not run, although a server ran it. A server that repeats its refusal is believed when the request comes to the same connection again: under another name of a server at the same address (balanced and keyed), with the same id once more, and after another request's answer on the connection.

--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include "proxy/tests/workerfixture.h"
 
 using namespace Galenarock;
@@ -36,6 +38,58 @@
     return std::make_shared<const RequestDialect>(std::move(dialect));
 }
 
+/// A server that refuses the first attempt of each request whose id begins with "r-" and runs the next one. If that
+/// comes over the connection of the refusal, a copy of the refusal precedes its answer.
+class CopyingServer
+{
+public:
+    explicit CopyingServer(int status)
+        : m_status(status)
+        , m_server([this](int, const std::string &request) { return answer(idOf(request)); })
+    {
+    }
+
+    std::string address() const
+    {
+        return m_server.address();
+    }
+    int connections() const
+    {
+        return m_server.connections();
+    }
+    int refusals() const
+    {
+        return m_refusals;
+    }
+    /// Requests with such an id that it has run.
+    int runs() const
+    {
+        return m_runs;
+    }
+
+private:
+    std::string answer(const std::string &id)
+    {
+        if (id.compare(0, 2, "r-") != 0) {
+            return success(id);
+        }
+        const int connection = m_server.connections();
+        const auto [it, isFirst] = m_refusedOn.emplace(id, connection);
+        if (isFirst) {
+            ++m_refusals;
+            return refusal(m_status, id);
+        }
+        ++m_runs;
+        return it->second == connection ? refusal(m_status, id) + success(id) : success(id);
+    }
+
+    const int m_status;
+    std::map<std::string, int> m_refusedOn;
+    std::atomic<int> m_refusals{0};
+    std::atomic<int> m_runs{0};
+    RawServer m_server;
+};
+
 /// One worker whose route `/a/` leads to the servers of the test; its requests may run once.
 class StaleAnswerTest : public WorkerTest
 {
@@ -55,11 +109,20 @@
 
     /// Sends one request that may run once on a connection of its own; returns the status that its caller got.
     int statusOf(const std::string &id)
+    {
+        return statusOf(id, [] {});
+    }
+
+    /// As above; `betweenPasses` is called between the passes of the worker.
+    int statusOf(const std::string &id, const std::function<void()> &betweenPasses)
     {
         RawCaller caller(worker.address());
         caller.send(
             fmt::format("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx", id));
-        runUntil([&] { return caller.received().find("\r\n\r\n") != std::string::npos; });
+        runUntil([&] {
+            betweenPasses();
+            return caller.received().find("\r\n\r\n") != std::string::npos;
+        });
         const auto received = caller.received();
         return received.size() > 12 ? std::stoi(received.substr(9, 3)) : 0;
     }
@@ -247,6 +310,68 @@
     EXPECT_EQ(runs, 1);
 }
 
+// Two entries with one address: a server has started again under a new id, and its old entry is still there. Guards
+// against believing the copy of the refusal when the request comes to the same connection under the other name
+// (REFUSED, TWICE).
+TEST_F(StaleAnswerTest, RepeatedRefusalUnderAnotherServerNameIsNotBelieved)
+{
+    CopyingServer server(421);
+    start({server.address(), server.address()});
+    fillRetryBudget();
+    EXPECT_EQ(statusOf("r-1"), 200);
+    EXPECT_EQ(server.runs(), 1);
+}
+
+// As above when the server is full.
+TEST_F(StaleAnswerTest, RepeatedOverloadUnderAnotherServerNameIsNotBelieved)
+{
+    CopyingServer server(503);
+    start({server.address(), server.address()});
+    fillRetryBudget();
+    EXPECT_EQ(statusOf("r-1"), 200);
+    EXPECT_EQ(server.runs(), 1);
+}
+
+// As above in a keyed service whose owner gets another name between the attempts.
+TEST_F(StaleAnswerTest, RepeatedRefusalByARenamedOwnerIsNotBelieved)
+{
+    CopyingServer server(421);
+    start({server.address(), server.address()}, Distribution::Keyed);
+    fillRetryBudget();
+    const auto renameOwner = [&] {
+        if (server.refusals() > 0 && keyOwner == 0) {
+            keyOwner = 1;
+            setRoutes({server.address(), server.address()}, Distribution::Keyed);
+        }
+    };
+    EXPECT_EQ(statusOf("r-1", renameOwner), 200);
+    EXPECT_EQ(keyOwner, 1);
+    EXPECT_EQ(server.runs(), 1);
+}
+
+// A request that was refused comes again with the same id, from its caller or through another VM. Guards against
+// believing the copy of the former refusal (REFUSED).
+TEST_F(StaleAnswerTest, RepeatedRefusalOfAnIdThatComesAgainIsNotBelieved)
+{
+    CopyingServer server(503);
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1"), 503);
+    EXPECT_EQ(statusOf("r-1"), 200);
+    EXPECT_EQ(server.runs(), 1);
+}
+
+// Guards against forgetting the refusal when another request has been answered on the connection: a copy may come late.
+TEST_F(StaleAnswerTest, RefusalRepeatedAfterAnotherAnswerIsNotBelieved)
+{
+    CopyingServer server(503);
+    start({server.address()});
+    EXPECT_EQ(statusOf("r-1"), 503);
+    EXPECT_EQ(statusOf("first"), 200);
+    EXPECT_EQ(server.connections(), 1);
+    EXPECT_EQ(statusOf("r-1"), 200);
+    EXPECT_EQ(server.runs(), 1);
+}
+
 // Guards against using a kept connection on which a response has arrived that no request waits for.
 TEST_F(StaleAnswerTest, ConnectionWithUnreadBytesIsNotUsed)
 {
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -145,7 +145,7 @@
             input.vms.vms.push_back({name, VmRole::Backend, "shop", "rioja", addresses[n], "", VmState::Live});
             assignment.servers.push_back({name, 0});
         }
-        assignment.slices = {{{0, ~KeyHash(0)}, hasOwner ? ServerIndex(0) : ServerIndex(noServer), 1, {}}};
+        assignment.slices = {{{0, ~KeyHash(0)}, hasOwner ? keyOwner : ServerIndex(noServer), 1, {}}};
         input.assignments.push_back(assignment);
         input.routes = std::make_shared<const RouteTable>(configuration);
         return RoutingSnapshot::build(input, MonotonicClock::now());
@@ -213,6 +213,8 @@
     Repeatability repeatability = Repeatability::Idempotent;
     std::int64_t routeTimeoutMs = 10'000;
     std::uint32_t epoch = 0;
+    /// Owner of all keys, by its index among the addresses, for the next makeSnapshot().
+    ServerIndex keyOwner = 0;
     /// For the next makeSnapshot().
     std::uint64_t configurationVersion = 1;
     std::string routePrefix = "/a/";
