--- a/src/proxy/openconnections.cpp
+++ b/src/proxy/openconnections.cpp
@@ -1,5 +1,6 @@
 #include "openconnections_p.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -18,9 +19,21 @@
                        connection.earlierAnswers, age.count());
 }
 
+void ExcludedIds::add(std::string_view id)
+{
+    if (!has(id)) {
+        m_hashes.push_back(hashKey(id));
+    }
+}
+
+bool ExcludedIds::has(std::string_view id) const
+{
+    return std::find(m_hashes.begin(), m_hashes.end(), hashKey(id)) != m_hashes.end();
+}
+
 void OpenConnections::opened(int fd, Endpoints ends)
 {
-    m_connections[fd] = {std::move(ends)};
+    m_connections[fd] = {std::move(ends), 0, {}};
 }
 
 void OpenConnections::closed(int fd)
--- a/src/proxy/openconnections_p.h
+++ b/src/proxy/openconnections_p.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include <galenarock/base.h>
 
@@ -27,12 +29,33 @@
     }
 };
 
+/// The ids of requests that must not be sent over a connection again. A server may repeat a response later, and the
+/// copy names the former request; the id alone cannot tell it from the response to the same request sent once more.
+class ExcludedIds
+{
+public:
+    /// Number of ids that a connection keeps; it is closed when it has that many.
+    static constexpr std::size_t Capacity = 128;
+
+    void add(std::string_view id);
+    /// May be true for an id that was not added: only hashes are kept.
+    bool has(std::string_view id) const;
+    bool isFull() const
+    {
+        return m_hashes.size() >= Capacity;
+    }
+
+private:
+    std::vector<KeyHash> m_hashes;
+};
+
 /// An open connection to a server.
 struct ServerConnection
 {
     Endpoints ends;
     /// Heads of final responses that have arrived on it.
     std::uint64_t answers = 0;
+    ExcludedIds excluded;
 };
 
 /// The connection of one attempt when the head of its response arrives, for the log.
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -81,9 +81,6 @@
 
     /// The connection to the server stays open for later requests.
     bool keepsConnection = true;
-    /// Servers that have refused an attempt. A copy of the refusal that follows on its connection has the id of this
-    /// request, so a further attempt there needs another connection.
-    std::vector<std::string> refusedBy;
     /// The body is read from the caller while it is sent; otherwise `body` is complete before the first attempt.
     bool streamsBody = false;
     /// Length in bytes; -1 when not known.
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -388,9 +388,8 @@
         attempt.target = request->path;
         attempt.connectTimeoutMs = RoutedConnectTimeoutMs;
         attempt.keepsConnection = request->keepsConnection;
-        const auto &refusedBy = request->refusedBy;
-        attempt.needsNewConnection = request->isProbe
-            || std::find(refusedBy.begin(), refusedBy.end(), request->serverIdentity.name) != refusedBy.end();
+        attempt.needsNewConnection = request->isProbe;
+        attempt.id = request->requestId;
     } else {
         attempt.headerLines = makeHeaders(*request, m_now);
     }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -389,7 +389,7 @@
     if (info.isNotRun && !isRelayed) {
         reportServerRefusal(*request, status, info);
         request->serverRefusal = info.reason;
-        request->refusedBy.push_back(request->serverIdentity.name);
+        UpstreamClient::keepFromConnection(request->attempt);
         if (info.id.empty()) {
             // Without an id, a copy of it that follows on the connection could not be told from a refusal of the next
             // request.
--- a/src/proxy/tests/openconnectionstest.cpp
+++ b/src/proxy/tests/openconnectionstest.cpp
@@ -48,3 +48,26 @@
     EXPECT_EQ(toString(kept),
               "kept connection 40000 to 10.0.0.1:80 with 12 answers before, 3.000 ms after it was sent");
 }
+
+// Guards against sending a request again over the connection on which it was refused, and against closing connections
+// for requests that were not.
+TEST(ExcludedIds, hasTheIdsThatWereAdded)
+{
+    ExcludedIds ids;
+    EXPECT_FALSE(ids.has("r-1"));
+    ids.add("r-1");
+    EXPECT_TRUE(ids.has("r-1"));
+    EXPECT_FALSE(ids.has("r-2"));
+}
+
+// Guards against memory that grows with each refusal on a connection.
+TEST(ExcludedIds, isFullAtItsCapacity)
+{
+    ExcludedIds ids;
+    for (std::size_t n = 0; n < ExcludedIds::Capacity; ++n) {
+        EXPECT_FALSE(ids.isFull());
+        ids.add(std::to_string(n));
+        ids.add(std::to_string(n));
+    }
+    EXPECT_TRUE(ids.isFull());
+}
--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -372,6 +372,22 @@
     EXPECT_EQ(server.runs(), 1);
 }
 
+// Guards against forgetting a refusal when many have followed on the connection: it is closed instead.
+TEST_F(StaleAnswerTest, RefusalRepeatedAfterManyOthersIsNotBelieved)
+{
+    constexpr int refusals = 2 * static_cast<int>(ExcludedIds::Capacity);
+    CopyingServer server(503);
+    maxAttempts = 1;
+    start({server.address()});
+    for (int n = 0; n < refusals; ++n) {
+        EXPECT_EQ(statusOf(fmt::format("r-{}", n)), 503);
+    }
+    EXPECT_EQ(server.connections(), 2);
+    EXPECT_EQ(statusOf("r-0"), 200);
+    EXPECT_EQ(statusOf(fmt::format("r-{}", refusals - 1)), 200);
+    EXPECT_EQ(server.runs(), 2);
+}
+
 // Guards against using a kept connection on which a response has arrived that no request waits for.
 TEST_F(StaleAnswerTest, ConnectionWithUnreadBytesIsNotUsed)
 {
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -127,7 +127,7 @@
         rule.destinations = {{"shop", 1}};
         rule.repeatability = repeatability;
         rule.timeoutMs = routeTimeoutMs;
-        rule.maxAttempts = 3;
+        rule.maxAttempts = maxAttempts;
         configuration.routes = {rule};
         configuration.version = configurationVersion;
         RoutingInput input;
@@ -212,6 +212,7 @@
 
     Repeatability repeatability = Repeatability::Idempotent;
     std::int64_t routeTimeoutMs = 10'000;
+    std::uint32_t maxAttempts = 3;
     std::uint32_t epoch = 0;
     /// Owner of all keys, by its index among the addresses, for the next makeSnapshot().
     ServerIndex keyOwner = 0;
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -28,8 +28,8 @@
     bool headDelivered = false;
     std::size_t headBytes = 0;
     bool resendStopped = false;
-    /// The connection was not used because of unread bytes.
-    bool foundUnreadBytes = false;
+    /// Why the chosen connection was closed instead of used; empty when it was used.
+    std::string_view avoidedBecause;
     bool wasPaused = false;
     /// The socket that was opened for this attempt.
     curl_socket_t newSocket = CURL_SOCKET_BAD;
@@ -130,6 +130,19 @@
     return close(fd);
 }
 
+/// Why a request must not go over the kept connection that was chosen; empty when it may.
+std::string_view reasonToAvoid(const Attempt &attempt)
+{
+    if (hasUnreadBytes(attempt.socket)) {
+        return "unread bytes, or its end, arrived on it";
+    }
+    const auto *connection = openConnections.at(attempt.socket);
+    if (connection && connection->excluded.has(attempt.request.id)) {
+        return "the request was refused on it before, or has failed there";
+    }
+    return {};
+}
+
 /// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
 /// the response. This callback runs before each transmission and aborts the second one.
 int prereqCallback(void *userData, char *serverIp, char *, int serverPort, int localPort)
@@ -145,8 +158,8 @@
         openConnections.opened(attempt->newSocket, ends);
     }
     attempt->socket = isNew ? attempt->newSocket : openConnections.find(ends);
-    if (!isNew && hasUnreadBytes(attempt->socket)) {
-        attempt->foundUnreadBytes = true;
+    attempt->avoidedBecause = isNew ? "" : reasonToAvoid(*attempt);
+    if (!attempt->avoidedBecause.empty()) {
         return CURL_PREREQFUNC_ABORT;
     }
     if (attempt->hooks.beforeSend && !attempt->hooks.beforeSend(isNew)) {
@@ -291,6 +304,18 @@
     curl_easy_setopt(attempt->handle, CURLOPT_FORBID_REUSE, 1L);
 }
 
+void UpstreamClient::keepFromConnection(Attempt *attempt)
+{
+    auto *connection = openConnections.at(attempt->socket);
+    if (!connection) {
+        return;
+    }
+    connection->excluded.add(attempt->request.id);
+    if (connection->excluded.isFull()) {
+        closeAfterResponse(attempt);
+    }
+}
+
 void UpstreamClient::resume(Attempt *attempt)
 {
     curl_easy_pause(attempt->handle, CURLPAUSE_CONT);
@@ -368,9 +393,9 @@
 
 void UpstreamClient::restart(Attempt *attempt)
 {
-    logEvent(Events::ConnectionUnclean, "closed a kept connection to {}: unread bytes, or its end, arrived on it",
-             originOf(attempt->request.url));
-    attempt->foundUnreadBytes = false;
+    logEvent(Events::ConnectionUnclean, "closed a kept connection to {}: {}", originOf(attempt->request.url),
+             attempt->avoidedBecause);
+    attempt->avoidedBecause = {};
     curl_multi_remove_handle(m_multi, attempt->handle);
     curl_easy_setopt(attempt->handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_multi_add_handle(m_multi, attempt->handle);
@@ -386,7 +411,7 @@
         Attempt *attempt = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &attempt);
         const CURLcode code = message->data.result;
-        if (attempt->foundUnreadBytes) {
+        if (!attempt->avoidedBecause.empty()) {
             restart(attempt);
             continue;
         }
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -69,6 +69,8 @@
     /// Path and query to send instead of the URL's, byte for byte; empty to use the URL's.
     std::string target;
     std::vector<std::string> headerLines;
+    /// Id by which responses name the request; empty if they do not.
+    std::string id;
     /// Complete body; must stay valid until onDone. Ignored with readBody.
     const char *body = nullptr;
     /// Bytes of the body; -1 with readBody when the length is not known (chunked).
@@ -117,6 +119,9 @@
     static bool isSent(const Attempt *attempt);
     /// The connection of an attempt whose response has begun; empty before the request was sent.
     static AttemptConnection connectionOf(const Attempt *attempt);
+    /// Sends no request with the id of this attempt over its connection any more: a copy of the response that has begun
+    /// may follow there, and could not be told from the next response to that request.
+    static void keepFromConnection(Attempt *attempt);
     /// Closes the connection of a running attempt when its response has ended.
     static void closeAfterResponse(Attempt *attempt);
     /// Continues a body that was paused by readBody or onData. Hooks may run before it returns.
@@ -132,7 +137,7 @@
     static int socketCallback(CURL *, curl_socket_t fd, int what, void *self, void *socketData);
     static int timerCallback(CURLM *, long timeoutMs, void *self);
     void finishAttempts();
-    /// Starts an attempt again that was kept from a connection with unread bytes.
+    /// Starts an attempt again that must not go over the kept connection that was chosen for it.
     void restart(Attempt *attempt);
     void release(Attempt *attempt);
     CURL *takeHandle();
