Close the connection of a refused lease call (OWNER)

A reply to a lease call names no call. A copy of a 409 that comes late on the kept connection was taken for the reply to the next grant: the leader then takes the keys for free although the server has just got them. Grants over connections are otherwise kept; a refused call, or a refused check of a new connection, now closes its connection, which is rare.

LeaseCallerTest.CopyOfARefusalIsNotTakenForTheReplyToTheNextGrant failed before (refused, one connection) and passes; the same for a refused check.

--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -19,6 +19,8 @@
 constexpr std::int64_t CheckTimeoutMs = 750;
 /// Bodies of replies are not used; longer ones come from a faulty server.
 constexpr std::size_t MaxReplyBytes = 4'096;
+/// A copy of a refusal may follow on its connection, and replies do not name their call.
+constexpr unsigned FirstRefusalStatus = 300;
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
 constexpr std::int64_t ReleaseTimeoutMs = 3'000;
@@ -48,6 +50,10 @@
     std::vector<HeaderField> headers;
     /// The call found a new connection and waits until that is checked.
     bool needsCheck = false;
+    /// The attempt that is under way: the call itself, or the check before it.
+    Attempt *attempt = nullptr;
+    /// The connection is not used after the reply.
+    bool closesConnection = false;
     LeaseHttpCall check;
 };
 
@@ -139,8 +145,7 @@
         return mayGoOver(*pending, isNewConnection);
     };
     hooks.onHead = [pending](unsigned status, std::vector<HeaderField> headers) {
-        pending->status = status;
-        pending->headers = std::move(headers);
+        takeHead(*pending, status, std::move(headers));
         return true;
     };
     hooks.onData = discardBody();
@@ -151,7 +156,7 @@
         }
         finish(*pending, result);
     };
-    upstream.start(std::move(request), std::move(hooks));
+    pending->attempt = upstream.start(std::move(request), std::move(hooks));
 }
 
 /// Connections are counted because a connection reaches the same process for as long as it lasts, while the address may
@@ -200,15 +205,24 @@
         return true;
     };
     hooks.onHead = [pending](unsigned status, std::vector<HeaderField> headers) {
-        pending->status = status;
-        pending->headers = std::move(headers);
+        takeHead(*pending, status, std::move(headers));
         return true;
     };
     hooks.onData = discardBody();
     hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
         finishCheck(upstream, pending, result);
     };
-    upstream.start(std::move(request), std::move(hooks));
+    pending->attempt = upstream.start(std::move(request), std::move(hooks));
+}
+
+void LeaseCaller::takeHead(PendingCall &pending, unsigned status, std::vector<HeaderField> headers)
+{
+    pending.status = status;
+    pending.headers = std::move(headers);
+    if (status >= FirstRefusalStatus) {
+        pending.closesConnection = true;
+        UpstreamClient::closeAfterResponse(pending.attempt);
+    }
 }
 
 void LeaseCaller::finishCheck(UpstreamClient &upstream, const Pending &pending, const AttemptResult &result)
@@ -244,7 +258,8 @@
 {
     auto &reply = pending.reply;
     if (result.complete) {
-        m_connections[reply.call.address].idle += reply.call.command == LeaseCommand::Grant ? 1 : 0;
+        const bool isKept = reply.call.command == LeaseCommand::Grant && !pending.closesConnection;
+        m_connections[reply.call.address].idle += isKept ? 1 : 0;
         m_reach.answered(MonotonicClock::now());
         m_dialect.decodeLeaseReply(
             pending.status, [&](const char *name) { return fieldOf(pending.headers, name); }, reply);
--- a/src/gateway/leasecaller_p.h
+++ b/src/gateway/leasecaller_p.h
@@ -37,6 +37,7 @@
     bool mayGoOver(PendingCall &pending, bool isNewConnection);
     /// Opens a connection and sends a call over it that changes nothing at the server; the grant follows the reply.
     void checkNewConnection(UpstreamClient &upstream, const Pending &pending);
+    static void takeHead(PendingCall &pending, unsigned status, std::vector<HeaderField> headers);
     void finishCheck(UpstreamClient &upstream, const Pending &pending, const AttemptResult &result);
     void finish(PendingCall &pending, const AttemptResult &result);
     void report(PendingCall &pending);
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -298,6 +298,36 @@
     EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
 }
 
+// Guards against taking the copy of a refusal that comes late for the reply to the next call: the leader would give the
+// keys to another server although this one holds them (OWNER).
+TEST_F(LeaseCallerTest, CopyOfARefusalIsNotTakenForTheReplyToTheNextGrant)
+{
+    const std::string refused = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    RawServer *self = nullptr;
+    RawServer server([&](int n, const std::string &) {
+        if (n == 1) {
+            return refused;
+        }
+        return self->connections() == 1 ? refused + accepted : accepted;
+    });
+    self = &server;
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Refused);
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// As above after a refused check of a new connection.
+TEST_F(LeaseCallerTest, CopyOfARefusedCheckIsNotTakenForTheReplyToTheNextGrant)
+{
+    const std::string refused = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([&](int n, const std::string &) { return n == 1 ? refused : accepted; });
+    EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Refused);
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
+    EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against a leader that takes the first lines of an answer for the whole: a grant that is not confirmed, or a
 // refusal of a call that the server may have accepted. The log names the cause.
 TEST_F(LeaseCallerTest, AnswerCutInItsHeadIsUnknown)
