Give the event of a refused attempt a name of its own

src/gateway/events_p.h has a constant ServerRefused as well, in the same namespace.

Renamed to AttemptRefused, attempt-refused. EventLog.constantsHaveDifferentNames failed before and guards all events.

--- a/src/base/tests/eventcatalogtest.cpp
+++ b/src/base/tests/eventcatalogtest.cpp
@@ -47,3 +47,25 @@
     EXPECT_GT(code.size(), 50u);
     EXPECT_EQ(code, matches(readFile(root / "docs/events.md"), inPage));
 }
+
+// Guards against two constants with one name, of which the linker keeps one: the other's lines are then logged under a
+// wrong number.
+TEST(EventLog, constantsHaveDifferentNames)
+{
+    const std::regex constant(R"(EventType (\w+)\{)");
+    const std::regex scope(R"(namespace ([\w:]+))");
+    std::set<std::string> names;
+    for (const auto &it : std::filesystem::recursive_directory_iterator(std::string(GALENAROCK_SOURCE_DIR) + "/src")) {
+        if (it.path().filename() != "events_p.h") {
+            continue;
+        }
+        const auto text = readFile(it.path());
+        std::smatch where;
+        ASSERT_TRUE(std::regex_search(text, where, scope)) << it.path();
+        for (std::sregex_iterator match(text.begin(), text.end(), constant), end; match != end; ++match) {
+            const auto name = where[1].str() + "::" + (*match)[1].str();
+            EXPECT_TRUE(names.insert(name).second) << name << " in " << it.path();
+        }
+    }
+    EXPECT_GT(names.size(), 50u);
+}
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -21,7 +21,7 @@
 inline constexpr EventType ServersReached{213, Severity::Info, "servers-reached"};
 inline constexpr EventType RequestRelayed{214, Severity::Info, "request-relayed"};
 inline constexpr EventType ConnectionUnclean{219, Severity::Warning, "connection-unclean"};
-inline constexpr EventType ServerRefused{220, Severity::Info, "server-refused"};
+inline constexpr EventType AttemptRefused{220, Severity::Info, "attempt-refused"};
 inline constexpr EventType AnswerMismatched{221, Severity::Warning, "answer-mismatched"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -352,7 +352,7 @@
     const auto labels = fmt::format("connection=\"{}\",id=\"{}\"", connection.isNew ? "new" : "kept",
                                     info.id.empty() ? "none" : "same");
     m_shared.metrics().counter("galenarock_server_refusals_total", labels).add();
-    logEvent(Events::ServerRefused, "request {}: status {} of {}, not run, {}, over {}", request.requestId, status,
+    logEvent(Events::AttemptRefused, "request {}: status {} of {}, not run, {}, over {}", request.requestId, status,
              request.serverIdentity.name, info.id.empty() ? "without an id" : "with its id", toString(connection));
 }
 
