Believe no answer without an id on a kept connection (REFUSED, MIXED)

What callers could see: a promise that a request has not run, or another request's failure, taken from bytes too many of an earlier response. A refusal without an id, or a 3xx to 5xx, was taken for the answer that was due, also on a kept connection.

Change: on a connection that has answered before, a response needs the id of the request; otherwise the outcome is unknown and the connection is closed. The first response on a connection cannot be one too many; it is taken as before.

--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -369,7 +369,9 @@
     FieldReader fields(headers);
     const auto info = m_shared.dialect()->readResponse(status, std::ref(fields));
     const bool isRelayed = !request->relay.vm.empty();
-    const bool needsId = status < 300 && !info.isNotRun;
+    // On a kept connection, a response that names no request may be bytes too many of an earlier one.
+    const bool mayBeExtra = !isRelayed && UpstreamClient::connectionOf(request->attempt).earlierAnswers > 0;
+    const bool needsId = (status < 300 && !info.isNotRun) || mayBeExtra;
     const bool isMismatched = info.id != request->requestId && (needsId || !info.id.empty());
     if (isMismatched || fields.isAmbiguous()) {
         reportMismatch(*request, status, info.id);
