--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -16,6 +16,7 @@
 #include <galenarock/replay.h>
 #include <galenarock/requestdialect.h>
 #include <galenarock/routing.h>
+#include <galenarock/serverpauses.h>
 #include <galenarock/sharedserverlimits.h>
 #include <galenarock/sharedserverreach.h>
 #include <galenarock/sharedsuspects.h>
@@ -169,6 +170,10 @@
     {
         return m_serverLimits;
     }
+    SharedServerPauses &serverPauses()
+    {
+        return m_serverPauses;
+    }
     SharedLeavingServers &leavingServers()
     {
         return m_leavingServers;
@@ -204,6 +209,7 @@
     SharedRelays m_relays;
     SharedServerLimits m_serverLimits;
     SharedLeavingServers m_leavingServers;
+    SharedServerPauses m_serverPauses;
     LedgerNode m_ledger;
     SharedSuspects m_suspects;
     SharedServerReach m_serverReach;
--- a/include/galenarock/requestdialect.h
+++ b/include/galenarock/requestdialect.h
@@ -60,6 +60,10 @@
     std::optional<ReportedLoad> load;
     /// Requests per second that the server takes from all daemons together; empty when it states none.
     std::optional<double> requestsPerSecond;
+    /// Time for which a server that refused the request wants no further one from this VM; empty when it states none.
+    std::optional<Duration> pause;
+    /// The response states such a time and it cannot be read.
+    bool isPauseMalformed = false;
     /// The server says that it leaves: it wants no new requests and ends soon.
     bool isLeaving = false;
     /// The response has a Content-Encoding, so its body is not the server's original bytes.
--- a/include/galenarock/requests.h
+++ b/include/galenarock/requests.h
@@ -57,6 +57,7 @@
     StoppingVm,
     RingFull,
     ServerRate,
+    ServerPaused,
     ServersUnreachable,
     InternalError,
 };
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -23,6 +23,8 @@
 inline constexpr EventType ConnectionUnclean{219, Severity::Warning, "connection-unclean"};
 inline constexpr EventType AttemptRefused{220, Severity::Info, "attempt-refused"};
 inline constexpr EventType AnswerMismatched{221, Severity::Warning, "answer-mismatched"};
+inline constexpr EventType ServerPaused{222, Severity::Info, "server-paused"};
+inline constexpr EventType PauseMalformed{223, Severity::Warning, "server-pause-malformed"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -83,6 +83,9 @@
     /// Another VM could not connect to the server either.
     void noteServerDown(const Identity &server);
     void handleRelayDone(const Pending &request, const AttemptResult &result);
+    // servers that refuse and want no further request for a while
+    void notePause(const PendingRequest &request, const ResponseInfo &info);
+    void refuseForPause(const Pending &request, Instant until);
     // servers that state a request rate (permits.cpp)
     /// Whether the request may be sent to the server now. Otherwise it waits for a permit, goes to another server, or
     /// is refused.
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -214,7 +214,7 @@
         return;
     }
     traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
-    const auto owner = traffic.choose(m_now, *request, &m_shared.serverLimits());
+    const auto owner = traffic.choose(m_now, *request, {&m_shared.serverLimits(), &m_shared.serverPauses()});
     const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
     if (isKeyed && owner.reason != Reason::None) {
         waitForOwner(request, owner.reason);
@@ -224,10 +224,21 @@
         refuseByRate(request);
         return;
     }
+    if (owner.reason == Reason::ServerPaused) {
+        refuseForPause(request, traffic.firstPauseEnd(m_now, m_shared.serverPauses()));
+        return;
+    }
     if (owner.reason != Reason::None) {
         refuse(request, routedRefusal(*request, {owner.reason, Outcome::NotRun, {}, 0}));
         return;
     }
+    const auto pausedUntil =
+        m_shared.serverPauses().pausedUntil(m_now, traffic.route->servers()[owner.server].identity);
+    if (pausedUntil > m_now) {
+        request->serverIdentity = traffic.route->servers()[owner.server].identity;
+        refuseForPause(request, pausedUntil);
+        return;
+    }
     const bool isThrottled = isKeyed && uniform() < traffic.observations.throttleProbability(m_now, owner.server);
     if (isThrottled) {
         traffic.observations.throttled(m_now, owner.server);
@@ -256,6 +267,29 @@
     sendRouted(request, owner.server);
 }
 
+void RequestHandler::refuseForPause(const Pending &request, Instant until)
+{
+    const auto wait = std::chrono::ceil<milliseconds>(until - m_now).count();
+    refuse(request, routedRefusal(*request, {Reason::ServerPaused, Outcome::NotRun, {}, wait}));
+}
+
+/// Records for how long the server that refused the request wants no further one from this VM.
+void RequestHandler::notePause(const PendingRequest &request, const ResponseInfo &info)
+{
+    if (info.isPauseMalformed) {
+        m_shared.metrics().counter("galenarock_malformed_pauses_total").add();
+        logEvent(Events::PauseMalformed, "request {}: the time that server {} wants no requests cannot be read",
+                 request.requestId, request.serverIdentity.name);
+    }
+    if (!info.pause) {
+        return;
+    }
+    m_shared.serverPauses().refused(m_now, request.serverIdentity, *info.pause);
+    m_shared.metrics().counter("galenarock_server_pauses_total").add();
+    logEvent(Events::ServerPaused, "server {} refused request {} and wants none from this VM for {} ms",
+             request.serverIdentity.name, request.requestId, duration_cast<milliseconds>(*info.pause).count());
+}
+
 void RequestHandler::sendRouted(const Pending &request, ServerIndex index)
 {
     auto &traffic = *request->traffic;
@@ -388,6 +422,9 @@
             m_shared.leavingServers().seen(m_now, request->serverIdentity);
         }
     }
+    if (!isRelayed && !info.isOtherServer) {
+        notePause(*request, info);
+    }
     if (info.isNotRun && !isRelayed) {
         reportServerRefusal(*request, status, info);
         request->serverRefusal = info.reason;
@@ -493,8 +530,12 @@
     if (reason == Reason::ConnectFailed && relayAfterFailedConnection(request)) {
         return;
     }
-    refuse(request,
-           routedRefusal(*request, isOwnerOverloaded ? Refusal{reason, Outcome::NotRun, {}, 0} : decision.refusal));
+    auto refusal = isOwnerOverloaded ? Refusal{reason, Outcome::NotRun, {}, 0} : decision.refusal;
+    if (isKeyed) {
+        const auto until = m_shared.serverPauses().pausedUntil(m_now, request->serverIdentity);
+        refusal.untilMs = std::max(refusal.untilMs, std::chrono::ceil<milliseconds>(until - m_now).count());
+    }
+    refuse(request, routedRefusal(*request, refusal));
 }
 
 void RequestHandler::runRouted()
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -89,7 +89,7 @@
     observations.setServers(now, route->servers(), share);
 }
 
-Owner ServiceTraffic::choose(Instant now, const PendingRequest &request, SharedServerLimits *limits)
+Owner ServiceTraffic::choose(Instant now, const PendingRequest &request, const ServerConditions &conditions)
 {
     if (route->document().distribution == Distribution::Keyed) {
         return route->owner(request.hash, now);
@@ -99,29 +99,47 @@
         return chooseServer(m_policy, views, tried, m_random(), targetDelaySeconds(request));
     };
     const auto &views = observations.views(now);
-    if (!limits || !limits->hasLimits()) {
+    const bool hasLimits = conditions.limits && conditions.limits->hasLimits();
+    const bool hasPauses = conditions.pauses && conditions.pauses->hasPauses();
+    if (!hasLimits && !hasPauses) {
         const auto server = chooseFrom(views);
         return {server, Token{}, server == noServer ? Reason::NoServer : Reason::None};
     }
     auto open = views;
-    const bool isAnyLeftOut = leaveOutByRate(now, request, *limits, open);
+    const auto leftOut = leaveOut(now, request, conditions, open);
     const auto server = chooseFrom(open);
-    const auto reason = isAnyLeftOut ? Reason::ServerRate : Reason::NoServer;
+    const auto reason = leftOut == Reason::None ? Reason::NoServer : leftOut;
     return {server, Token{}, server == noServer ? reason : Reason::None};
 }
 
-bool ServiceTraffic::leaveOutByRate(Instant now, const PendingRequest &request, SharedServerLimits &limits,
-                                    std::vector<ServerView> &views) const
+Reason ServiceTraffic::leaveOut(Instant now, const PendingRequest &request, const ServerConditions &conditions,
+                                std::vector<ServerView> &views) const
 {
-    bool isAnyLeftOut = false;
+    auto reason = Reason::None;
     for (auto &it : views) {
+        if (!it.eligible) {
+            continue;
+        }
         const auto &identity = route->servers()[it.server].identity;
-        if (it.eligible && limits.refusedUntil(identity, request.rule->priority) > now) {
+        if (conditions.pauses && conditions.pauses->pausedUntil(now, identity) > now) {
+            it.eligible = false;
+            reason = Reason::ServerPaused;
+        } else if (conditions.limits && conditions.limits->refusedUntil(identity, request.rule->priority) > now) {
             it.eligible = false;
-            isAnyLeftOut = true;
+            reason = Reason::ServerRate;
         }
     }
-    return isAnyLeftOut;
+    return reason;
+}
+
+Instant ServiceTraffic::firstPauseEnd(Instant now, SharedServerPauses &pauses) const
+{
+    auto first = Instant::max();
+    for (const auto &it : route->servers()) {
+        const auto until = pauses.pausedUntil(now, it.identity);
+        first = until > now ? std::min(first, until) : first;
+    }
+    return first == Instant::max() ? now : first;
 }
 
 bool ServiceTraffic::hasRoom(ServerIndex server) const
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -14,6 +14,7 @@
 #include <galenarock/retry.h>
 #include <galenarock/routing.h>
 #include <galenarock/serverchoice.h>
+#include <galenarock/serverpauses.h>
 #include <galenarock/sharedserverlimits.h>
 
 #include "pendingrequest_p.h"
@@ -21,6 +22,13 @@
 namespace Galenarock
 {
 
+/// What servers state of themselves that may keep a request from them; null where it does not matter.
+struct ServerConditions
+{
+    SharedServerLimits *limits = nullptr;
+    SharedServerPauses *pauses = nullptr;
+};
+
 /// State of one service in one worker: metrics, admission queue, retry budget and server observations.
 class ServiceTraffic
 {
@@ -35,9 +43,11 @@
 
     /// Server for one attempt: the owner of the key for a keyed service, otherwise chosen by the policy. The result has
     /// a reason other than None when there is no such server now.
-    /// Servers whose stated rate is used up now are left out if `limits` is given; when no other one is left, the
-    /// reason is ServerRate.
-    Owner choose(Instant now, const PendingRequest &request, SharedServerLimits *limits = nullptr);
+    /// Servers are left out that `conditions` keep from the request now; when no other one is left, the reason is
+    /// ServerRate or ServerPaused.
+    Owner choose(Instant now, const PendingRequest &request, const ServerConditions &conditions = {});
+    /// When the first server that pauses wants requests again; `now` if none pauses.
+    Instant firstPauseEnd(Instant now, SharedServerPauses &pauses) const;
     /// Number of requests that may run concurrently at `owner`, or at all servers if it is noServer.
     std::uint32_t concurrency(Instant now, ServerIndex owner);
     /// Whether this worker may start another attempt at `server`.
@@ -73,9 +83,10 @@
     const ServiceRoute *route = nullptr;
 
 private:
-    /// Marks the servers as not eligible whose stated rate is used up for requests of this priority.
-    bool leaveOutByRate(Instant now, const PendingRequest &request, SharedServerLimits &limits,
-                        std::vector<ServerView> &views) const;
+    /// Marks the servers as not eligible whose stated rate is used up for requests of this priority, or that pause.
+    /// Returns why the last one was; None if none was.
+    Reason leaveOut(Instant now, const PendingRequest &request, const ServerConditions &conditions,
+                    std::vector<ServerView> &views) const;
 
     std::uint32_t m_liveWorkers = 0;
     /// The observations have a list of servers.
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -48,6 +48,10 @@
         }
         info.reason = Reason::ServerShed;
         info.isLeaving = !header("Leaving").empty();
+        const auto pauseMs = header("Pause");
+        if (!pauseMs.empty()) {
+            info.pause = milliseconds(std::stoll(std::string(pauseMs)));
+        }
         return info;
     };
     dialect.isStrippedHeader = [](std::string_view) {
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -215,6 +215,83 @@
     expectReport("503 Busy");
 }
 
+namespace
+{
+/// Servers that refuse each request and want no further one for a while.
+class PausingServerTest : public WorkerTest
+{
+protected:
+    static std::string refusal(std::int64_t pauseMs)
+    {
+        return fmt::format("HTTP/1.1 503 Busy\r\nRequest: r-1\r\nPause: {}\r\nContent-Length: 2\r\n\r\nno", pauseMs);
+    }
+
+    static constexpr int Requests = 10;
+    static constexpr std::int64_t LongMs = 600'000;
+    static constexpr std::int64_t ShortMs = 200;
+};
+}
+
+// Control for the tests below, since refusals alone make the choice prefer other servers: while a server wants no
+// requests from this VM, others of its service take them.
+TEST_F(PausingServerTest, OtherServersTakeTheRequests)
+{
+    RawServer pausing([](int, const std::string &) { return refusal(LongMs); });
+    RawServer open([](int, const std::string &) { return SmallAnswer; });
+    maxAttempts = 1;
+    setRoutes({pausing.address(), open.address()}, Distribution::Balanced);
+    listen();
+    for (int n = 0; n < Requests; ++n) {
+        answerToRequest(n);
+    }
+    EXPECT_LE(pausing.requests(), 1);
+    EXPECT_GE(open.requests(), Requests - 1);
+}
+
+// Guards against requests to the owner of a key that wants none from this VM (BUDGET), and against a caller that waits
+// although the refusal is certain.
+TEST_F(PausingServerTest, RequestForAPausingOwnerIsRefusedAtOnce)
+{
+    RawServer owner([](int, const std::string &) { return refusal(LongMs); });
+    setRoutes({owner.address()}, Distribution::Keyed);
+    listen();
+    answerToRequest(0);
+    const auto answer = answerToRequest(0);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("server-paused"), std::string::npos) << answer;
+    EXPECT_EQ(owner.requests(), 1);
+}
+
+// Guards against a refusal without the time at which the server takes requests again.
+TEST_F(PausingServerTest, RefusalStatesTheRestOfThePause)
+{
+    RawServer server([](int, const std::string &) { return refusal(LongMs); });
+    setRoutes({server.address()}, Distribution::Balanced);
+    listen();
+    answerToRequest(0);
+    const auto answer = answerToRequest(0);
+    const std::string field = "\"untilMs\":";
+    const auto at = answer.find(field);
+    ASSERT_NE(at, std::string::npos) << answer;
+    EXPECT_GT(std::stoll(answer.substr(at + field.size())), LongMs / 2);
+    EXPECT_EQ(server.requests(), 1);
+}
+
+// Guards against a server that gets no requests after its pause.
+TEST_F(PausingServerTest, ServerIsUsedAfterItsPause)
+{
+    RawServer server([](int n, const std::string &) { return n == 1 ? refusal(ShortMs) : SmallAnswer; });
+    setRoutes({server.address()}, Distribution::Keyed);
+    listen();
+    answerToRequest(0);
+    EXPECT_TRUE(runUntil([&] {
+        return !shared.serverPauses().hasPauses()
+            || shared.serverPauses().pausedUntil(MonotonicClock::now(), {"shop-0", 0}) <= MonotonicClock::now();
+    }));
+    EXPECT_NE(answerToRequest(0).find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 // Servers take a request, and their machines fall silent. Guards against sending it to further servers when it comes
 // again (BUDGET).
 TEST_F(WorkerTest, RequestWhoseSilentServersAreGoneIsRefused)
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -56,6 +56,8 @@
     ReasonInfo{Reason::StoppingVm, "stopping", 503, NotRun, "this VM is stopping"},
     ReasonInfo{Reason::RingFull, "ring-full", 503, NotRun, "an internal queue is full"},
     ReasonInfo{Reason::ServerRate, "server-rate", 503, NotRun, "the request rate that the server states is used up"},
+    ReasonInfo{Reason::ServerPaused, "server-paused", 503, NotRun,
+               "the server wants no requests from this VM for a while"},
     ReasonInfo{Reason::ServersUnreachable, "servers-unreachable", 503, NotRun,
                "no VM that could be asked reaches the servers"},
     ReasonInfo{Reason::InternalError, "internal-error", 500, Unknown, "internal error"},
