Count a refused grant as one that may be held (OWNER)

A reply to a lease call names no call. A copy of a 200 can be taken for the reply to a grant; if the server refuses that grant, its 409 is left on the connection and can be taken for the reply to the next grant, which the server accepts. The leader then knew of no hold and moved the keys without a release.

Change: after a 409 the range may be held until a grant from that moment would have ended.

--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -372,6 +372,8 @@
                fmt::format("{} has seen a higher fencing token than {}", slice.holder.name, event.call.fencingToken));
         m_isConfirmed = false;
         m_nextReadAt = m_now;
+        // Replies do not name their call: this one may be that to an earlier grant, and the server may hold the keys.
+        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.endedAt + m_settings.deliveryAllowance));
         dropToken(slice);
         slice.nextCallAt = m_now + RetryInterval;
         return;
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -507,6 +507,9 @@
     if (reply.status != LeaseCallStatus::Accepted) {
         return;
     }
+    if (falseRefusalShare > 0 && uniform() < falseRefusalShare) {
+        reply.status = LeaseCallStatus::Outdated;
+    }
     for (const auto position : m_positions) {
         if (!state->server.holds(now, position) || !call.range.contains(position)) {
             continue;
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -132,6 +132,8 @@
     double unansweredWriteShare = 0;
     /// Share of grants that take effect up to 6 s later and get no answer.
     double lateGrantShare = 0;
+    /// Share of accepted grants for which the leader gets the refusal of an earlier grant as the reply.
+    double falseRefusalShare = 0;
     double lostPeerMessageShare = 0;
     /// Share of lease calls for which the connection to the server is opened anew.
     double reconnectShare = 0;
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -280,6 +280,24 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+// Replies do not name their call: after an extra reply on a connection, the refusal of one grant can be taken for the
+// reply to the next one, which the server has accepted. Guards against giving its keys to another server while it holds
+// them (OWNER).
+TEST(LeasesTest, GrantWithTheRefusalOfAnEarlierOneHasNoSecondHolder)
+{
+    for (int phaseMs = 0; phaseMs < 500; phaseMs += 10) {
+        const auto simulation = stableSimulation();
+        simulation->falseRefusalShare = 1;
+        simulation->setLeaving(0);
+        simulation->run(milliseconds(phaseMs));
+        simulation->falseRefusalShare = 0;
+        simulation->setLeaving(1);
+        simulation->run(seconds(6));
+        EXPECT_EQ(simulation->violation, "") << phaseMs;
+        EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << phaseMs;
+    }
+}
+
 // Guards against a check of a new connection that takes keys away from the server, and against a grant without one.
 TEST(LeasesTest, GrantsNameARangeThatTheirServerDoesNotHold)
 {
