Take a permit only for the server that was asked about (LIMIT)

A reply about a permit was matched by the number of the question alone, and each process counts its questions from 1. After a restart, the reply to a question of the earlier process could be taken for that about another server. Replies name their server, also those of earlier builds.

ServerLimitsTest.ReplyAboutAnotherServerIsNotTaken failed before and passes. A late reply about the same server is still taken.

--- a/src/requests/serverlimits.cpp
+++ b/src/requests/serverlimits.cpp
@@ -242,8 +242,10 @@
 {
     mergeEntry(now, reply.limit);
     const auto found = m_questions.find(reply.number);
-    // A reply that comes too late is answered from the own part by endQuestions().
-    if (found == m_questions.end() || now - found->second.askedAt >= ReplyTimeout) {
+    // An earlier process of this daemon counted its questions from 1 as well. A reply that comes too late is answered
+    // from the own part by endQuestions().
+    if (found == m_questions.end() || now - found->second.askedAt >= ReplyTimeout
+        || found->second.server != reply.limit.server) {
         return;
     }
     const auto question = found->second;
--- a/src/requests/tests/serverlimitsfleettest.cpp
+++ b/src/requests/tests/serverlimitsfleettest.cpp
@@ -379,3 +379,33 @@
     limits.step(begin + seconds(5), actions);
     ASSERT_EQ(actions.outcomes.size(), 1U);
 }
+
+// Guards against a reply to a question of this daemon's earlier process, which counted its questions from 1 as well,
+// being taken for the reply about another server (LIMIT).
+TEST(ServerLimitsTest, ReplyAboutAnotherServerIsNotTaken)
+{
+    const Instant begin = Instant() + seconds(1'000);
+    ServerLimits limits("vm-1", 1);
+    Member self;
+    self.identity = {"vm-1", 2};
+    Member other;
+    other.identity = {"vm-2", 1};
+    limits.setMembers(begin, {self, other});
+    Identity server{"s", 1};
+    PermitDecision decision;
+    LimitActions actions;
+    for (int n = 0; decision.state != PermitState::Pending; ++n) {
+        server.name = fmt::format("s-{}", n);
+        limits.observe(begin, server, 1);
+        decision = limits.ask(begin, server, 0, Duration(), actions);
+    }
+    const PermitReply late{decision.number, {{"earlier", 1}, 1, 1}, {true, {}}};
+    actions = {};
+    tryOr(
+        [&]() -> Result<void> {
+            return limits.receive(begin + milliseconds(1), {{"vm-2", 1}, RequestMessage::PermitReply, encode(late)},
+                                  actions);
+        },
+        [](ErrorCode, const std::string &detail) { FAIL() << detail; });
+    EXPECT_TRUE(actions.outcomes.empty());
+}
