--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -123,6 +123,7 @@
     static void dropToken(LeaseSlice &slice);
     void finishRelease(LeaseSlice &slice, bool isAnswered);
     void onGrantReply(LeaseSlice &slice, const LeaseReplyEvent &event);
+    void countAsUnanswered(LeaseSlice &slice, const LeaseReplyEvent &event);
     void onReleaseReply(LeaseSlice &slice, const LeaseReplyEvent &event);
     void joinQuietSlices();
     /// End of a grant that has arrived by this time.
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -372,9 +372,7 @@
                fmt::format("{} has seen a higher fencing token than {}", slice.holder.name, event.call.fencingToken));
         m_isConfirmed = false;
         m_nextReadAt = m_now;
-        // Replies do not name their call: this one may be that to an earlier grant, and the server may hold the keys.
-        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.endedAt + m_settings.deliveryAllowance));
-        dropToken(slice);
+        countAsUnanswered(slice, event);
         slice.nextCallAt = m_now + RetryInterval;
         return;
     case LeaseCallStatus::Late:
@@ -386,10 +384,13 @@
         sendDueCall(slice);
         return;
     case LeaseCallStatus::Unknown:
-        slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.endedAt + m_settings.deliveryAllowance));
-        dropToken(slice); // the server may have accepted it, over a connection that is not known
+        countAsUnanswered(slice, event); // the server may have accepted it, over a connection that is not known
         break;
     case LeaseCallStatus::Refused:
+        if (event.connection != 0) { // otherwise the check of the connection was refused, and no grant was sent
+            countAsUnanswered(slice, event);
+        }
+        break;
     case LeaseCallStatus::NotSent:
         break;
     }
@@ -410,6 +411,14 @@
     }
 }
 
+/// The server may hold the range by this grant, whatever the reply says: replies do not name their call, and this one
+/// may be that to an earlier grant.
+void LeaseController::Private::countAsUnanswered(LeaseSlice &slice, const LeaseReplyEvent &event)
+{
+    slice.unansweredUntil = std::max(slice.unansweredUntil, grantEnd(event.endedAt + m_settings.deliveryAllowance));
+    dropToken(slice);
+}
+
 void LeaseController::Private::onReleaseReply(LeaseSlice &slice, const LeaseReplyEvent &event)
 {
     if (!slice.isReleasing || !slice.target) {
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -508,7 +508,7 @@
         return;
     }
     if (falseRefusalShare > 0 && uniform() < falseRefusalShare) {
-        reply.status = LeaseCallStatus::Outdated;
+        reply.status = falseRefusal;
     }
     for (const auto position : m_positions) {
         if (!state->server.holds(now, position) || !call.range.contains(position)) {
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -134,6 +134,7 @@
     double lateGrantShare = 0;
     /// Share of accepted grants for which the leader gets the refusal of an earlier grant as the reply.
     double falseRefusalShare = 0;
+    LeaseCallStatus falseRefusal = LeaseCallStatus::Outdated;
     double lostPeerMessageShare = 0;
     /// Share of lease calls for which the connection to the server is opened anew.
     double reconnectShare = 0;
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -283,10 +283,18 @@
 // Replies do not name their call: after an extra reply on a connection, the refusal of one grant can be taken for the
 // reply to the next one, which the server has accepted. Guards against giving its keys to another server while it holds
 // them (OWNER).
-TEST(LeasesTest, GrantWithTheRefusalOfAnEarlierOneHasNoSecondHolder)
+class FalseRefusalTest : public testing::TestWithParam<LeaseCallStatus>
+{
+};
+
+INSTANTIATE_TEST_SUITE_P(Leases, FalseRefusalTest,
+                         testing::Values(LeaseCallStatus::Outdated, LeaseCallStatus::Refused));
+
+TEST_P(FalseRefusalTest, GrantWithTheRefusalOfAnEarlierOneHasNoSecondHolder)
 {
     for (int phaseMs = 0; phaseMs < 500; phaseMs += 10) {
         const auto simulation = stableSimulation();
+        simulation->falseRefusal = GetParam();
         simulation->falseRefusalShare = 1;
         simulation->setLeaving(0);
         simulation->run(milliseconds(phaseMs));
