Use no kept connection of which nothing is known

From the review, by reading: when libcurl's choice is not found among the open connections, neither unread bytes nor refused ids were looked for, and an answer without an id counted as the first one. A lease call with a status other than 200 closes its connection, 2xx included. No test: the state cannot be brought about from outside.

--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -19,8 +19,8 @@
 constexpr std::int64_t CheckTimeoutMs = 750;
 /// Bodies of replies are not used; longer ones come from a faulty server.
 constexpr std::size_t MaxReplyBytes = 4'096;
-/// A copy of a refusal may follow on its connection, and replies do not name their call.
-constexpr unsigned FirstRefusalStatus = 300;
+/// A copy of any other reply may follow on its connection, and replies do not name their call.
+constexpr unsigned AcceptedStatus = 200;
 /// Servers answer a release when the requests on its keys have ended; when this timeout is reached, the grant has
 /// expired.
 constexpr std::int64_t ReleaseTimeoutMs = 3'000;
@@ -219,7 +219,7 @@
 {
     pending.status = status;
     pending.headers = std::move(headers);
-    if (status >= FirstRefusalStatus) {
+    if (status != AcceptedStatus) {
         pending.closesConnection = true;
         UpstreamClient::closeAfterResponse(pending.attempt);
     }
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -133,6 +133,9 @@
 /// Why a request must not go over the kept connection that was chosen; empty when it may.
 std::string_view reasonToAvoid(const Attempt &attempt)
 {
+    if (attempt.socket < 0) {
+        return "it is not known what came over it";
+    }
     if (hasUnreadBytes(attempt.socket)) {
         return "unread bytes, or its end, arrived on it";
     }
