--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -130,6 +130,7 @@
         rule.maxAttempts = maxAttempts;
         configuration.routes = {rule};
         configuration.version = configurationVersion;
+        configuration.limits.maxBodyBytes = maxBodyBytes;
         RoutingInput input;
         ServiceDocument document;
         document.service = "shop";
@@ -219,6 +220,7 @@
     /// For the next makeSnapshot().
     std::uint64_t configurationVersion = 1;
     std::string routePrefix = "/a/";
+    std::uint64_t maxBodyBytes = 64 << 20;
     Metrics metrics;
     ProxyShared shared{metrics, {"vm-1", 11}, PeerKey{}};
     Worker worker{shared};
