Promise "not run" only when the end of each attempt is known (REFUSED)

A request that had run was answered 503 "not-run, deadline-too-short" when handling the end of its attempt threw an exception. The exception is caught (event 108), but the request stayed open without an attempt, and at its deadline refuseExpired() took the absence of a record for a proof: the plan of a request learned only of attempts that had failed, and of none that went through another VM.

Until its end has been reported, the request counts as one that may have run, so a path that forgets or loses the end of an attempt leads to 502 or 504 and to no second attempt.

Whether the reported cases came about like this is not known: there are no logs of them, which would have event 108.

--- a/include/galenarock/retry.h
+++ b/include/galenarock/retry.h
@@ -83,8 +83,13 @@
     /// For routes that state themselves whether a request is idempotent, whatever its method. Never hedges.
     AttemptPlan(const RetrySettings &settings, bool isIdempotent, Instant deadline);
 
-    /// Call when an attempt is sent.
+    /// Call when an attempt at a server starts.
     void started();
+    /// Call when an attempt, at a server or through another VM, starts. Until its end is reported, the request may have
+    /// run.
+    void sending();
+    /// Call when such an attempt has ended; `isNotRun` if it provably did not run. failed() does the same.
+    void ended(bool isNotRun);
     /// Decides after an attempt without a complete response. `serviceTime` is the expected time of another attempt.
     AttemptDecision failed(Instant now, const AttemptReport &report, RetryBudget &budget, Duration serviceTime,
                            std::uint64_t random);
@@ -100,7 +105,7 @@
     /// False while every attempt provably did not run.
     bool mayHaveRun() const
     {
-        return m_mayHaveRun;
+        return m_mayHaveRun || m_isOutstanding;
     }
     const std::vector<ServerIndex> &triedServers() const
     {
@@ -118,7 +123,10 @@
     std::uint32_t m_attempts = 0;
     /// Attempts whose connection was lost after bytes were sent.
     std::uint32_t m_lostAttempts = 0;
+    /// An attempt that has ended may have run.
     bool m_mayHaveRun = false;
+    /// The end of an attempt has not been reported.
+    bool m_isOutstanding = false;
     bool m_hedged = false;
     std::vector<ServerIndex> m_triedServers;
 };
--- a/src/proxy/relaying.cpp
+++ b/src/proxy/relaying.cpp
@@ -159,6 +159,7 @@
         return;
     }
     const bool isNotRun = !result.sent || (refusal != Reason::None && !request->reportedUnknown);
+    request->plan->ended(isNotRun);
     const bool hasNoServer = refusal == Reason::ServersUnreachable || refusal == Reason::NoConfiguration;
     if (!result.sent || hasNoServer || refusal == Reason::None) {
         m_shared.relays().failed(m_now, vm);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -450,6 +450,7 @@
         result.complete && request->serverRefusal == Reason::None && request->defect == Reason::None;
     const auto reason = isComplete ? Reason::None : failureOf(*request, result);
     recordAttempt(*request, result, reason);
+    request->plan->ended(!result.sent || request->serverRefusal != Reason::None);
     if (request->streamsResponse) {
         if (isComplete) {
             answer(request);
--- a/src/proxy/tests/notruntest.cpp
+++ b/src/proxy/tests/notruntest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <stdexcept>
 
 #include "proxy/tests/workerfixture.h"
 
@@ -122,6 +123,21 @@
         return server.address();
     }
 
+    /// Makes the answer to the request, which is suspected of one crash, end with an exception.
+    void failToClearSuspects()
+    {
+        shared.suspects().setReportHook([](const SuspectReport &) { throw std::runtime_error("no memory"); });
+        shared.suspects().reportReceived(MonotonicClock::now(), suspectReport({1}));
+    }
+    /// The test's request was in flight at these servers when they crashed.
+    static SuspectReport suspectReport(const std::vector<std::uint64_t> &servers)
+    {
+        SuspectReport report;
+        report.fingerprint = requestFingerprint("shop", "POST", "/a/1", "x", {});
+        std::copy(servers.begin(), servers.end(), report.servers.begin());
+        return report;
+    }
+
     bool isAnswered(RawCaller &caller)
     {
         return runUntil([&] { return caller.received().find("\r\n\r\n") != std::string::npos; });
@@ -498,10 +514,7 @@
     RawCaller caller(worker.address());
     caller.send(Post);
     ASSERT_TRUE(isRetrying());
-    SuspectReport report;
-    report.fingerprint = requestFingerprint("shop", "POST", "/a/1", "x", {});
-    report.servers = {1, 2};
-    shared.suspects().reportReceived(MonotonicClock::now(), report);
+    shared.suspects().reportReceived(MonotonicClock::now(), suspectReport({1, 2}));
     expectAnswer(caller, 503, "crash-suspect", 0);
     EXPECT_EQ(server.requests(), 1);
 }
@@ -573,6 +586,31 @@
     isHeld = false;
 }
 
+// Internal errors.
+
+// Passing on the answer fails with an exception, which is caught, and the request stays open until the route's timeout.
+// Guards against a promise for a request whose attempt has no recorded end.
+TEST_F(NotRunTest, RequestWhoseAnswerIsLostInAnInternalErrorMayHaveRun)
+{
+    RawServer server([this](int, const std::string &) { return run(); });
+    routeTimeoutMs = 500;
+    failToClearSuspects();
+    start({server.address()});
+    expectAnswer(504, "deadline-too-short", 1);
+}
+
+// The same for a request that has gone through another VM.
+TEST_F(NotRunTest, RelayedRequestWhoseAnswerIsLostInAnInternalErrorMayHaveRun)
+{
+    RawServer relay([this](int, const std::string &) { return run(); });
+    routeTimeoutMs = 500;
+    failToClearSuspects();
+    start({deadAddress()});
+    setRelays({relay.address()});
+    loseServers();
+    expectAnswer(504, "deadline-too-short", 1);
+}
+
 // Requests that go through another VM.
 
 // The other VM's server refuses the request, and the other VM says so.
--- a/src/requests/retry.cpp
+++ b/src/requests/retry.cpp
@@ -98,6 +98,17 @@
     ++m_attempts;
 }
 
+void AttemptPlan::sending()
+{
+    m_isOutstanding = true;
+}
+
+void AttemptPlan::ended(bool isNotRun)
+{
+    m_isOutstanding = false;
+    m_mayHaveRun = m_mayHaveRun || !isNotRun;
+}
+
 Duration AttemptPlan::delayBefore(Reason reason, std::uint64_t random) const
 {
     const auto doublings = std::min<std::uint32_t>(m_attempts > 0 ? m_attempts - 1 : 0, 6);
@@ -122,10 +133,8 @@
                                     std::uint64_t random)
 {
     const bool notRun = !report.bytesSent || report.reportedNotRun;
-    if (!notRun) {
-        m_mayHaveRun = true;
-        ++m_lostAttempts;
-    }
+    ended(notRun);
+    m_lostAttempts += notRun ? 0 : 1;
     if (report.server != noServer) {
         m_triedServers.push_back(report.server);
     }
--- a/src/requests/tests/retrytest.cpp
+++ b/src/requests/tests/retrytest.cpp
@@ -95,6 +95,22 @@
     EXPECT_EQ(plan.triedServers(), (std::vector<ServerIndex>{0, 1, 1}));
 }
 
+// Guards against reporting `not-run` for a request that was sent when the end of the attempt was never reported.
+TEST(AttemptPlan, outcomeIsUnknownUntilTheEndOfAnAttemptIsReported)
+{
+    AttemptPlan plan(ServiceDocument(), "POST", at(2'000));
+    EXPECT_FALSE(plan.mayHaveRun());
+    plan.sending();
+    EXPECT_TRUE(plan.mayHaveRun());
+    plan.ended(true);
+    EXPECT_FALSE(plan.mayHaveRun());
+    plan.sending();
+    plan.ended(false);
+    plan.sending();
+    plan.ended(true);
+    EXPECT_TRUE(plan.mayHaveRun());
+}
+
 // Guards against a request whose retries crash a third server.
 TEST(AttemptPlan, noThirdServerAfterTwoLostConnections)
 {
