Keep exceptions from unwinding through libcurl

An exception in a hook of an attempt, such as while the head of an answer is read, unwound through libcurl and was caught only around the whole pass of the worker. libcurl then takes itself to be inside the callback for good and refuses every further call: the request was never answered, not even at its deadline, and the worker sent no other request any more.

The callbacks now catch it (event 108, "callback of an attempt") and end their attempt. What was sent counts as may have run, a transmission that is stopped before it counts as not sent.

Evidence: NotRunTest.InternalErrorInAHeadEndsOnlyItsAttempt had no answer after 60 s before; now the caller gets 502, and the next request 200. 180 tests of the proxy, relaying, planned stop, pipeline and server connections pass.

--- a/src/proxy/tests/notruntest.cpp
+++ b/src/proxy/tests/notruntest.cpp
@@ -611,6 +611,24 @@
     expectAnswer(504, "deadline-too-short", 1);
 }
 
+// Reading the head of an answer fails with an exception. Guards against one that unwinds through libcurl, after which
+// the worker sends nothing any more and the request is never answered.
+TEST_F(NotRunTest, InternalErrorInAHeadEndsOnlyItsAttempt)
+{
+    auto dialect = *notRunDialect();
+    dialect.readResponse = [this, readResponse = dialect.readResponse](unsigned status, const HeaderLookup &header) {
+        if (runs == 1) {
+            throw std::runtime_error("no memory");
+        }
+        return readResponse(status, header);
+    };
+    shared.setDialect(std::make_shared<const RequestDialect>(dialect));
+    RawServer server([this](int, const std::string &) { return run(); });
+    start({server.address()});
+    expectAnswer(502, "response-cut", 1);
+    expectAnswer(200, "", 2);
+}
+
 // Requests that go through another VM.
 
 // The other VM's server refuses the request, and the other VM says so.
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -9,6 +9,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "base/guard_p.h"
 #include "base/sockets_p.h"
 #include "events_p.h"
 
@@ -69,23 +70,39 @@
     return attempt->hooks.onHead(attempt->head.status(), attempt->head.takeFields());
 }
 
-std::size_t headerCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
+/// Returns what `body` returns, or `failure` when it throws: an exception that unwinds through libcurl leaves the
+/// client unusable, since libcurl then takes itself to be inside the callback for good.
+template<typename Value, typename Body> Value withoutExceptions(Value failure, const Body &body)
 {
-    auto *attempt = static_cast<Attempt *>(userData);
-    attempt->headBytes += size * n;
+    Value value = failure;
+    runGuarded("callback of an attempt", [&] { value = body(); });
+    return value;
+}
+
+/// Returns false when the attempt must be aborted.
+bool takeHeadLine(Attempt *attempt, std::string_view line)
+{
+    attempt->headBytes += line.size();
     if (attempt->headBytes > MaxResponseHeadBytes) {
-        return 0;
+        return false;
     }
-    switch (attempt->head.addLine({bytes, size * n})) {
+    switch (attempt->head.addLine(line)) {
     case HeadProgress::Malformed:
-        return 0;
+        return false;
     case HeadProgress::Incomplete:
-        return size * n;
+        return true;
     case HeadProgress::Complete:
         break;
     }
     const bool isTrailer = attempt->headDelivered;
-    return isTrailer || deliverHead(attempt) ? size * n : 0;
+    return isTrailer || deliverHead(attempt);
+}
+
+std::size_t headerCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
+{
+    auto *attempt = static_cast<Attempt *>(userData);
+    const bool isTaken = withoutExceptions(false, [&] { return takeHeadLine(attempt, {bytes, size * n}); });
+    return isTaken ? size * n : 0;
 }
 
 std::size_t writeCallback(char *bytes, std::size_t size, std::size_t n, void *userData)
@@ -94,7 +111,7 @@
     if (!attempt->headDelivered) {
         return size * n + 1; // libcurl takes more bytes for the end of a head than ResponseHeadReader does
     }
-    switch (attempt->hooks.onData(bytes, size * n)) {
+    switch (withoutExceptions(DataResult::Abort, [&] { return attempt->hooks.onData(bytes, size * n); })) {
     case DataResult::Taken:
         return size * n;
     case DataResult::Pause:
@@ -107,7 +124,9 @@
 
 std::size_t readCallback(char *out, std::size_t size, std::size_t n, void *userData)
 {
-    return static_cast<Attempt *>(userData)->hooks.readBody(out, size * n);
+    auto *attempt = static_cast<Attempt *>(userData);
+    constexpr std::size_t failure = CURL_READFUNC_ABORT;
+    return withoutExceptions(failure, [&] { return attempt->hooks.readBody(out, size * n); });
 }
 
 bool isOnNewConnection(CURL *handle)
@@ -143,17 +162,13 @@
     return {};
 }
 
-/// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
-/// the response. This callback runs before each transmission and aborts the second one.
-int prereqCallback(void *userData, char *serverIp, char *, int serverPort, int localPort)
+int allowSend(Attempt *attempt, const Endpoints &ends)
 {
-    auto *attempt = static_cast<Attempt *>(userData);
     if (attempt->sends > 0) {
         attempt->resendStopped = true;
         return CURL_PREREQFUNC_ABORT;
     }
     const bool isNew = isOnNewConnection(attempt->handle);
-    const Endpoints ends{serverIp, serverPort, localPort};
     if (isNew) {
         openConnections.opened(attempt->newSocket, ends);
     }
@@ -170,6 +185,15 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/// libcurl 7.88 automatically resends a request, even POST, when a reused connection closes before the first byte of
+/// the response. This callback runs before each transmission and aborts the second one.
+int prereqCallback(void *userData, char *serverIp, char *, int serverPort, int localPort)
+{
+    auto *attempt = static_cast<Attempt *>(userData);
+    constexpr int failure = CURL_PREREQFUNC_ABORT;
+    return withoutExceptions(failure, [&] { return allowSend(attempt, {serverIp, serverPort, localPort}); });
+}
+
 void setBodyOptions(CURL *handle, const Attempt &attempt)
 {
     const auto &request = attempt.request;
