--- a/include/galenarock/peer.h
+++ b/include/galenarock/peer.h
@@ -101,6 +101,10 @@
     void setMembers(const std::vector<Member> &members);
     /// Replaces the fault of a link; a default LinkFault removes it. Thread-safe.
     void setLinkFault(const std::string &vm, LinkFault fault);
+    /// Replaces the key of outgoing and incoming frames. Thread-safe.
+    void setKey(const PeerKey &key);
+    /// Number of received frames whose MAC was made with another key. Thread-safe.
+    std::uint64_t foreignFrames() const;
     /// `ip:port` that the sockets are bound to.
     std::string address() const;
     /// True when the queue of outgoing messages is empty. Frames that are delayed by a link fault or buffered for TCP
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -85,7 +86,9 @@
 private:
     GatewayHooks makeHooks();
     void openStore();
+    static std::optional<PeerKey> parsePeerKey(const std::string &hexKey);
     std::string openPeers(const std::string &hexKey);
+    bool changePeerKey(const std::string &hexKey);
     void setMembers(const std::vector<Member> &members);
     void broadcast(const SuspectReport &report);
     void receiveRequestMessage(const PeerEvent &event);
@@ -185,6 +188,12 @@
     hooks.openPeers = [this](const std::string &it) {
         return openPeers(it);
     };
+    hooks.changePeerKey = [this](const std::string &it) {
+        return changePeerKey(it);
+    };
+    hooks.foreignFrames = [this] {
+        return peers ? peers->foreignFrames() : 0;
+    };
     return hooks;
 }
 
@@ -266,13 +275,11 @@
     store->setWatch(dialect.serverKind, true);
 }
 
-std::string Gateway::Impl::openPeers(const std::string &hexKey)
+/// Empty, with a line in the log, when the text is not a key.
+std::optional<PeerKey> Gateway::Impl::parsePeerKey(const std::string &hexKey)
 {
-    PeerTransportSettings transport;
-    transport.address = toString(settings.peer);
-    transport.self = self;
+    PeerKey key{};
     std::size_t n = 0;
-    auto &key = transport.key;
     const bool isKey = sodium_hex2bin(key.data(), key.size(), hexKey.data(), hexKey.size(), nullptr, &n, nullptr) == 0
         && n == key.size();
     if (!isKey) {
@@ -280,6 +287,30 @@
                  2 * key.size());
         return {};
     }
+    return key;
+}
+
+bool Gateway::Impl::changePeerKey(const std::string &hexKey)
+{
+    const auto key = parsePeerKey(hexKey);
+    if (!key) {
+        return false;
+    }
+    peers->setKey(*key);
+    shared.setPeerKey(*key);
+    return true;
+}
+
+std::string Gateway::Impl::openPeers(const std::string &hexKey)
+{
+    PeerTransportSettings transport;
+    transport.address = toString(settings.peer);
+    transport.self = self;
+    const auto key = parsePeerKey(hexKey);
+    if (!key) {
+        return {};
+    }
+    transport.key = *key;
     return tryOr(
         [&]() -> Result<std::string> {
             BOOST_LEAF_ASSIGN(peers, PeerTransport::open(transport, metrics, [this](PeerEvent event) {
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 #include <galenarock/leavingservers.h>
 
@@ -20,6 +19,8 @@
 constexpr Duration StatusInterval = milliseconds(500);
 /// Time within which the daemons write their own objects again after the store was restored.
 constexpr Duration RewriteSpread = milliseconds(1'500);
+/// Era of a store that has never been restored.
+constexpr std::uint64_t FirstEra = 1;
 constexpr const char *PeerKeyName = "peer-key";
 /// Lease calls per second for which a leader plans, per core; about two thirds of what a VM with requests can make.
 constexpr double LeaseCallsPerCore = 2'000;
@@ -39,16 +40,6 @@
     return membership;
 }
 
-std::string newPeerKeyHex()
-{
-    PeerKey key;
-    randombytes_buf(key.data(), key.size());
-    std::string text(2 * key.size() + 1, '\0');
-    sodium_bin2hex(text.data(), text.size(), key.data(), key.size());
-    text.pop_back();
-    return text;
-}
-
 /// String field of a JSON object; empty if missing or of another type.
 std::string textOf(const nlohmann::json &value, const char *name)
 {
@@ -56,6 +47,13 @@
     return it != value.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+/// Number field of a JSON object; 0 if missing or of another type.
+std::uint64_t numberOf(const nlohmann::json &value, const char *name)
+{
+    const auto it = value.is_object() ? value.find(name) : value.end();
+    return it != value.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
+}
+
 /// CPU share in hundredths of a core; 100, one core, if the field is missing or out of range.
 std::uint16_t percentOf(const nlohmann::json &value, const char *name)
 {
@@ -75,6 +73,7 @@
     , m_feed(m_settings.self, WatchFeedSettings())
     , m_serviceRoutes(m_settings.retryPercent)
     , m_status(std::make_shared<const GatewayStatus>())
+    , m_peerKeyCheck(m_settings.seed)
 {
 }
 
@@ -140,6 +139,7 @@
         serversChanged();
     }
     joinFleet(now);
+    checkPeerKey(now);
     carryOut(m_features.tick(now));
     carryOut(m_feed.tick(now, m_hooks.isStoreReachable()));
     const bool reachesServers = m_hooks.reachesServers();
@@ -158,12 +158,15 @@
     } else if (object.key.kind == ObjectKind::Daemon) {
         adoptDaemon(object);
     } else if (object.key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
-        adoptPeerKey(object);
+        onPeerKeyStored(object);
     }
 }
 
 void GatewayControlPlane::onMissing(Instant now, const ObjectKey &key)
 {
+    if (key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
+        m_isPeerKeyWritten = false; // joinFleet() writes it
+    }
     if (key.kind != m_dialect.serverKind) {
         return;
     }
@@ -313,7 +316,7 @@
     }
     m_nextJoinAt = now + JoinRetryInterval;
     if (!m_isPeerKeyWritten) {
-        const nlohmann::json value{{"key", m_isPeerKeyNeeded ? newPeerKeyHex() : m_peerKeyHex}};
+        const auto value = toJson(m_isPeerKeyNeeded ? newPeerKey() : m_peerKey);
         m_hooks.writeObject(
             {{ObjectKind::Fleet, PeerKeyName}, 0, randomNonce(), value, CallPriority::Leadership, false});
     } else {
@@ -332,37 +335,87 @@
         {{ObjectKind::Daemon, m_settings.self.name}, version, randomNonce(), value, CallPriority::Leadership, false});
 }
 
-/// The key of running daemons goes before one that a daemon created while the store had lost it.
-void GatewayControlPlane::onPeerKeyStored(const StoredObject &object)
+/// Whether this daemon hears more than half of the daemons that it knows. One that knows no other may have started
+/// while a restored store had lost their entries.
+bool GatewayControlPlane::isFleetHeard() const
 {
-    adoptPeerKey(object);
-    const auto stored = textOf(object.value, "key");
-    m_isPeerKeyWritten = !m_isPeerKeyNeeded && stored == m_peerKeyHex;
-    if (!m_isPeerKeyNeeded && !m_isPeerKeyWritten) {
-        logEvent(Events::PeerKeyReplaced,
-                 "the store has another key for peer messages than this daemon uses; replacing it");
-        m_hooks.writeObject(
-            {object.key, object.version, randomNonce(), {{"key", m_peerKeyHex}}, CallPriority::Leadership, false});
+    if (m_members.size() < 2) {
+        return m_storeEra <= FirstEra;
     }
+    const auto heard = std::count_if(m_members.begin(), m_members.end(), [](const Member &it) {
+        return it.status == MemberStatus::Alive || it.status == MemberStatus::Leaving;
+    });
+    return 2 * static_cast<std::size_t>(heard) > m_members.size();
 }
 
-void GatewayControlPlane::adoptPeerKey(const StoredObject &object)
+/// Reads the key of the store again when this daemon may use another one than the other daemons.
+void GatewayControlPlane::checkPeerKey(Instant now)
 {
-    if (!m_isPeerKeyNeeded) {
+    if (m_isPeerKeyNeeded || m_isStopping) {
+        return;
+    }
+    const bool isHeard = isFleetHeard();
+    if (!m_peerKeyCheck.isDue(now, m_hooks.foreignFrames(), isHeard)) {
+        return;
+    }
+    m_hooks.readObject({{ObjectKind::Fleet, PeerKeyName}, CallPriority::Leadership});
+    if (!isHeard) {
+        m_hooks.listObjects(ObjectKind::Daemon);
+        // Membership takes the listed address of a process that it has not heard only once the earlier one is dead.
+        ++m_daemons.revision;
+        m_haveDaemonsChanged = true;
+    }
+}
+
+/// Of two keys the one that was created first stays, so that all daemons come to use the same one.
+void GatewayControlPlane::onPeerKeyStored(const StoredObject &object)
+{
+    const auto stored = peerKeyFromJson(object.value);
+    if (m_isPeerKeyNeeded) {
+        adoptPeerKey(stored);
         return;
     }
-    const auto key = textOf(object.value, "key");
-    m_peerAddress = m_hooks.openPeers(key);
+    if (stored.hex != m_peerKey.hex && stored.precedes(m_peerKey)) {
+        changePeerKey(stored);
+    }
+    m_isPeerKeyWritten = stored.hex == m_peerKey.hex;
+    if (m_isPeerKeyWritten) {
+        m_peerKey.createdMs = std::min(m_peerKey.createdMs, stored.createdMs);
+        return;
+    }
+    logEvent(Events::PeerKeyReplaced,
+             "the store has a later key for peer messages than the one this daemon uses; replacing it");
+    m_hooks.writeObject(
+        {object.key, object.version, randomNonce(), toJson(m_peerKey), CallPriority::Leadership, false});
+}
+
+void GatewayControlPlane::adoptPeerKey(const SharedPeerKey &stored)
+{
+    m_peerAddress = m_hooks.openPeers(stored.hex);
     if (m_peerAddress.empty()) {
         return;
     }
-    m_peerKeyHex = key;
+    m_peerKey = stored;
     m_isPeerKeyNeeded = false;
     m_isPeerKeyWritten = true;
     m_nextJoinAt = {};
     m_membership = MembershipCore(membershipSettings(m_settings, m_peerAddress));
 }
 
+/// Uses another key from now on and joins the daemons that have it as after a start: so far neither side has heard the
+/// other.
+void GatewayControlPlane::changePeerKey(const SharedPeerKey &stored)
+{
+    if (!m_hooks.changePeerKey(stored.hex)) {
+        return;
+    }
+    logEvent(Events::PeerKeyChanged, "the store has an earlier key for peer messages than the one this daemon used");
+    m_peerKey = stored;
+    m_peerKeyCheck.keyChanged(m_hooks.foreignFrames());
+    m_membership = MembershipCore(membershipSettings(m_settings, m_peerAddress));
+    m_haveDaemonsChanged = true;
+}
+
 void GatewayControlPlane::adoptDaemon(const StoredObject &object)
 {
     VmEntry entry;
@@ -371,6 +424,7 @@
     entry.address = textOf(object.value, "address");
     entry.peerAddress = textOf(object.value, "peer");
     entry.cpuPercent = percentOf(object.value, "cpuPercent");
+    entry.boot = numberOf(object.value, "boot");
     if (entry.peerAddress.empty() || entry.failureDomain.empty()) {
         logEvent(Events::DaemonEntryRefused, "{} has no peer address or failure domain and is ignored",
                  object.key.name);
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -13,6 +13,7 @@
 #include <galenarock/watchfeed.h>
 
 #include "daemon/decisionlog_p.h"
+#include "peerkey_p.h"
 #include "serverdirectory_p.h"
 #include "serviceroutes_p.h"
 
@@ -51,6 +52,10 @@
     std::function<std::vector<WatchChange>()> takeChanges;
     /// Opens the peer transport with the key that all daemons share. Returns its address; empty on failure.
     std::function<std::string(const std::string &hexKey)> openPeers;
+    /// Lets the open transport use another key. Returns false if the text is no key.
+    std::function<bool(const std::string &hexKey)> changePeerKey;
+    /// Number of frames that arrived with another key than that of this daemon.
+    std::function<std::uint64_t()> foreignFrames;
 };
 
 /// What the admin interface shows of the control plane.
@@ -112,7 +117,10 @@
     void adoptServer(Instant now, const StoredObject &object);
     void adoptDaemon(const StoredObject &object);
     void onPeerKeyStored(const StoredObject &object);
-    void adoptPeerKey(const StoredObject &object);
+    bool isFleetHeard() const;
+    void checkPeerKey(Instant now);
+    void adoptPeerKey(const SharedPeerKey &stored);
+    void changePeerKey(const SharedPeerKey &stored);
     void joinFleet(Instant now);
     void writeDaemonEntry(std::uint64_t version);
     void serversChanged();
@@ -157,7 +165,8 @@
     /// Era of the store; 0 while unknown.
     std::uint64_t m_storeEra = 0;
     std::string m_peerAddress;
-    std::string m_peerKeyHex;
+    SharedPeerKey m_peerKey;
+    PeerKeyCheck m_peerKeyCheck;
     bool m_isPeerKeyNeeded = true;
     /// The store has the key that this daemon uses.
     bool m_isPeerKeyWritten = false;
--- /dev/null
+++ b/src/gateway/tests/planetest.cpp
@@ -0,0 +1,374 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "gateway/plane_p.h"
+
+using namespace Galenarock;
+
+namespace
+{
+constexpr Duration StepTime = milliseconds(5);
+constexpr Duration TickTime = milliseconds(50);
+constexpr Duration NetworkDelay = milliseconds(5);
+/// Each daemon asks the store for a sign of life at this interval, which tells it the era.
+constexpr Duration HeartbeatTime = milliseconds(500);
+/// Time within which a deployment must have recovered from any fault.
+constexpr Duration RecoveryLimit = seconds(15);
+
+/// Control planes of several daemons, the store, and the messages between the daemons, with a common clock.
+class PlaneFleet
+{
+public:
+    explicit PlaneFleet(std::size_t count)
+        : m_daemons(count)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            start(n);
+        }
+    }
+
+    void start(std::size_t index)
+    {
+        auto &daemon = m_daemons[index];
+        daemon = Daemon();
+        daemon.identity = {"vm-" + std::to_string(index), m_nextBoot++};
+        daemon.address = "10.0.0." + std::to_string(index) + ":" + std::to_string(daemon.identity.boot);
+        GatewayControlPlaneSettings settings;
+        settings.self = daemon.identity;
+        settings.failureDomain = "a";
+        settings.address = "10.1.0.1:80";
+        settings.seed = daemon.identity.boot * 7'919;
+        GatewayDialect dialect;
+        dialect.configuration = {"config", "main"};
+        dialect.serverKind = "servers";
+        daemon.plane = std::make_unique<GatewayControlPlane>(settings, dialect, hooks(index));
+    }
+    void kill(std::size_t index)
+    {
+        m_daemons[index] = Daemon();
+    }
+    /// The store continues from an empty copy.
+    void loseObjects()
+    {
+        m_objects.clear();
+        ++m_era;
+    }
+    void loseObject(const ObjectKey &key)
+    {
+        m_objects.erase({key.kind, key.name});
+        ++m_era;
+    }
+    std::optional<StoredObject> object(const std::string &kind, const std::string &name) const
+    {
+        const auto it = m_objects.find({kind, name});
+        return it == m_objects.end() ? std::nullopt : std::optional(it->second);
+    }
+    void run(Duration duration)
+    {
+        for (const auto end = m_now + duration; m_now < end;) {
+            step();
+        }
+    }
+    /// What is missing until every daemon uses the key of the store, has its entry there and takes all for alive.
+    std::string faults() const
+    {
+        const auto key = object(ObjectKind::Fleet, "peer-key");
+        std::string text = key ? "" : "no key in the store;";
+        for (const auto &it : m_daemons) {
+            const auto &name = it.identity.name;
+            text += key && it.key == key->value["key"] ? "" : " " + name + " uses another key;";
+            text += object(ObjectKind::Daemon, name) ? "" : " " + name + " has no entry;";
+            const auto alive = std::count_if(it.members.begin(), it.members.end(),
+                                             [](const Member &m) { return m.status == MemberStatus::Alive; });
+            const bool areAllAlive = static_cast<std::size_t>(alive) == m_daemons.size();
+            text += areAllAlive ? "" : " " + name + " hears " + std::to_string(alive) + ";";
+        }
+        return text;
+    }
+    std::size_t reads() const
+    {
+        return m_reads;
+    }
+
+    bool isStoreUp = true;
+
+private:
+    struct Daemon
+    {
+        Identity identity;
+        std::string address;
+        std::unique_ptr<GatewayControlPlane> plane;
+        std::string key;
+        std::uint64_t foreignFrames = 0;
+        std::vector<Member> members;
+        std::uint64_t era = 0;
+    };
+
+    GatewayHooks hooks(std::size_t index)
+    {
+        GatewayHooks hooks;
+        hooks.readObject = [this, index](const ReadObjectAction &it) {
+            ++m_reads;
+            callStore(index, [this, it]() -> std::vector<ControlEvent> {
+                const auto found = object(it.key.kind, it.key.name);
+                return {found ? ControlEvent(ObjectEvent{*found, true}) : ControlEvent(ObjectMissingEvent{it.key})};
+            });
+        };
+        hooks.writeObject = [this, index](const WriteObjectAction &it) {
+            callStore(index, [this, it]() -> std::vector<ControlEvent> { return {write(it)}; });
+        };
+        hooks.listObjects = [this, index](const std::string &kind) {
+            callStore(index, [this, kind] {
+                std::vector<ControlEvent> events;
+                for (const auto &[key, it] : m_objects) {
+                    if (key.first == kind) {
+                        events.emplace_back(ObjectEvent{it, true});
+                    }
+                }
+                return events;
+            });
+        };
+        hooks.sendPeer = [this, index](const SendPeerAction &it) {
+            send(m_daemons[index], it);
+        };
+        hooks.membersChanged = [this, index](const std::vector<Member> &it) {
+            m_daemons[index].members = it;
+        };
+        hooks.openPeers = [this, index](const std::string &it) {
+            m_daemons[index].key = it;
+            return m_daemons[index].address;
+        };
+        hooks.changePeerKey = [this, index](const std::string &it) {
+            m_daemons[index].key = it;
+            return true;
+        };
+        hooks.foreignFrames = [this, index] {
+            return m_daemons[index].foreignFrames;
+        };
+        hooks.callServer = [](const LeaseCall &) {
+        };
+        hooks.relaysChanged = [](const std::vector<Member> &) {
+        };
+        hooks.snapshotChanged = [](const std::shared_ptr<const RoutingSnapshot> &) {
+        };
+        hooks.bootSeen = [](const std::string &, std::uint64_t) {
+        };
+        hooks.stoppedAsPlanned = [](const Identity &) {
+        };
+        hooks.takeLoads = [] {
+            return std::vector<KeyLoad>();
+        };
+        hooks.requestMessage = [](const PeerEvent &) {
+        };
+        hooks.requestRates = [] {
+            return std::map<Identity, double>();
+        };
+        hooks.reachesServers = [] {
+            return true;
+        };
+        hooks.fleetListed = [] {
+        };
+        hooks.isStoreReachable = [this] {
+            return isStoreUp;
+        };
+        hooks.setFeed = [](const WatchFeedView &) {
+        };
+        hooks.applyChange = [](const WatchChange &) {
+        };
+        hooks.takeChanges = [] {
+            return std::vector<WatchChange>();
+        };
+        return hooks;
+    }
+
+    void schedule(Duration delay, std::function<void()> action)
+    {
+        m_scheduled.emplace(m_now + delay, std::move(action));
+    }
+    /// Passes the response on after the event of its era, if the process still runs. The store client drops responses
+    /// of an earlier era.
+    void callStore(std::size_t index, std::function<std::vector<ControlEvent>()> call)
+    {
+        const auto boot = m_daemons[index].identity.boot;
+        schedule(NetworkDelay, [this, index, boot, call] {
+            if (!isStoreUp) {
+                return;
+            }
+            schedule(NetworkDelay, [this, index, boot, events = call(), era = m_era] {
+                auto &daemon = m_daemons[index];
+                if (daemon.identity.boot != boot || era < daemon.era) {
+                    return;
+                }
+                if (std::exchange(daemon.era, era) != era) {
+                    daemon.plane->handle(m_now, StoreEraEvent{era});
+                }
+                for (const auto &it : events) {
+                    daemon.plane->handle(m_now, it);
+                }
+                daemon.plane->endBatch(m_now);
+            });
+        });
+    }
+    WriteResultEvent write(const WriteObjectAction &action)
+    {
+        WriteResultEvent result{action.key, action.writer, m_now, WriteStatus::Conflict, {}};
+        auto &stored = m_objects[{action.key.kind, action.key.name}];
+        if (stored.version == action.expectedVersion) {
+            stored = {action.key, ++m_version, action.writer, action.value};
+            result.status = WriteStatus::Applied;
+        }
+        result.current = stored;
+        return result;
+    }
+    void send(const Daemon &sender, const SendPeerAction &message)
+    {
+        const auto member = std::find_if(sender.members.begin(), sender.members.end(),
+                                         [&](const Member &it) { return it.identity.name == message.vm; });
+        const auto address = member == sender.members.end() ? message.vm : member->peerAddress;
+        const PeerEvent event{sender.identity, message.type, message.payload};
+        schedule(NetworkDelay, [this, address, event, key = sender.key] {
+            for (auto &it : m_daemons) {
+                if (!it.plane || it.address != address) {
+                    continue;
+                }
+                if (it.key == key) {
+                    it.plane->handle(m_now, event);
+                    it.plane->endBatch(m_now);
+                } else {
+                    ++it.foreignFrames;
+                }
+            }
+        });
+    }
+    void step()
+    {
+        m_now += StepTime;
+        while (!m_scheduled.empty() && m_scheduled.begin()->first <= m_now) {
+            const auto action = std::move(m_scheduled.begin()->second);
+            m_scheduled.erase(m_scheduled.begin());
+            action();
+        }
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            auto &it = m_daemons[n];
+            if (!it.plane) {
+                continue;
+            }
+            if (m_now.time_since_epoch() % TickTime == Duration()) {
+                it.plane->handle(m_now, TickEvent());
+                it.plane->endBatch(m_now);
+            }
+            if (m_now.time_since_epoch() % HeartbeatTime == Duration()) {
+                callStore(n, [] { return std::vector<ControlEvent>(); });
+            }
+        }
+    }
+
+    Instant m_now{seconds(1'000)};
+    std::multimap<Instant, std::function<void()>> m_scheduled;
+    std::vector<Daemon> m_daemons;
+    std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_era = 1;
+    std::uint64_t m_nextBoot = 100;
+    std::size_t m_reads = 0;
+};
+}
+
+// A daemon starts after the store came back from a copy that is older than all that the daemons wrote, and creates a
+// key of its own. Guards against daemons that never understand each other again (review/2, RECOVER).
+TEST(PlaneTest, DaemonsAgreeOnAKeyAfterOneStartsInAnEmptyStore)
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        PlaneFleet fleet(3);
+        fleet.run(seconds(5));
+        ASSERT_EQ(fleet.faults(), "");
+        fleet.isStoreUp = false;
+        fleet.kill(2);
+        fleet.run(seconds(1));
+        fleet.loseObjects();
+        fleet.isStoreUp = true;
+        fleet.run(phase * milliseconds(60));
+        fleet.start(2);
+        fleet.run(RecoveryLimit);
+        EXPECT_EQ(fleet.faults(), "") << phase;
+    }
+}
+
+// Only a minority goes on running, and the others start at different times in an empty store. Guards against two groups
+// that each keep a key of their own.
+TEST(PlaneTest, DaemonsAgreeOnAKeyAfterMostStartInAnEmptyStore)
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        PlaneFleet fleet(5);
+        fleet.run(seconds(5));
+        fleet.isStoreUp = false;
+        for (std::size_t n = 0; n < 3; ++n) {
+            fleet.kill(n);
+        }
+        fleet.run(seconds(1));
+        fleet.loseObjects();
+        fleet.isStoreUp = true;
+        for (std::size_t n = 0; n < 3; ++n) {
+            fleet.run(phase * milliseconds(20));
+            fleet.start(n);
+        }
+        fleet.run(RecoveryLimit);
+        EXPECT_EQ(fleet.faults(), "") << phase;
+    }
+}
+
+// The store loses everything again before the daemons have agreed on a key. Guards against a key that returns.
+TEST(PlaneTest, DaemonsAgreeOnAKeyAfterTwoDrills)
+{
+    for (int phase = 0; phase < 40; ++phase) {
+        PlaneFleet fleet(3);
+        fleet.run(seconds(5));
+        fleet.kill(0);
+        fleet.loseObjects();
+        fleet.run(milliseconds(50));
+        fleet.start(0);
+        fleet.run(phase * milliseconds(60));
+        fleet.loseObjects();
+        fleet.kill(1);
+        fleet.run(milliseconds(100));
+        fleet.start(1);
+        fleet.run(RecoveryLimit);
+        EXPECT_EQ(fleet.faults(), "") << phase;
+    }
+}
+
+// Each object of the daemons is missing in the copy in turn, and a daemon starts afterwards. Guards against a daemon
+// that is not found any more, or finds none.
+TEST(PlaneTest, DaemonsWriteAgainWhatTheCopyDoesNotHave)
+{
+    const std::vector<ObjectKey> keys{{ObjectKind::Fleet, "peer-key"},
+                                      {ObjectKind::Daemon, "vm-0"},
+                                      {ObjectKind::Daemon, "vm-1"},
+                                      {ObjectKind::Daemon, "vm-2"}};
+    for (const auto &it : keys) {
+        PlaneFleet fleet(3);
+        fleet.run(seconds(5));
+        fleet.kill(2);
+        fleet.loseObject(it);
+        fleet.run(milliseconds(100));
+        fleet.start(2);
+        fleet.run(RecoveryLimit);
+        EXPECT_EQ(fleet.faults(), "") << it.kind << " " << it.name;
+    }
+}
+
+// Guards against reads of the key while all is well, and against ever more of them while other daemons stay away.
+TEST(PlaneTest, KeyIsReadRarelyAndOnlyWhenDaemonsAreNotHeard)
+{
+    PlaneFleet fleet(3);
+    fleet.run(seconds(60));
+    EXPECT_EQ(fleet.reads(), 0U);
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.run(seconds(80));
+    EXPECT_GE(fleet.reads(), 5U);
+    EXPECT_LE(fleet.reads(), 20U);
+}
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -289,8 +289,12 @@
         m_isPublishDue = true;
         logDecision(Events::MemberJoined, fmt::format("{} added from the VM list", vm.name));
     }
-    // Once the member has sent its own update (incarnation above 0), its addresses override the VM list's.
-    if (state->incarnation == 0) {
+    // Once the member has sent its own update (incarnation above 0), its addresses override the VM list's. A dead one
+    // may have another process since, which this daemon has not heard.
+    const bool isReplaced =
+        state->member.status == MemberStatus::Dead && vm.boot != 0 && vm.boot != state->member.identity.boot;
+    if (state->incarnation == 0 || isReplaced) {
+        m_isPublishDue = m_isPublishDue || state->member.peerAddress != vm.peerAddress;
         state->member.failureDomain = vm.failureDomain;
         state->member.address = vm.address;
         state->member.peerAddress = vm.peerAddress;
--- a/src/peer/tests/peertest.cpp
+++ b/src/peer/tests/peertest.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 #include <galenarock/peer.h>
 
@@ -120,6 +121,24 @@
     EXPECT_TRUE(window.accept({"vm-1", 2}, 1));
 }
 
+// A daemon takes another key over while it runs. Guards against frames that are still made or checked with the former
+// one, and against frames of another key that go unnoticed.
+TEST(PeerTransport, keyIsReplacedWhileItRuns)
+{
+    Daemon a("vm-a");
+    Daemon b("vm-b");
+    a.transport->setMembers({b.member("vm-b")});
+    a.transport->setKey(peerKeyFromSecret("other secret"));
+    ASSERT_TRUE(a.transport->send({"vm-b", 1, "unread"}));
+    while (b.transport->foreignFrames() == 0) {
+        std::this_thread::yield();
+    }
+    b.transport->setKey(peerKeyFromSecret("other secret"));
+    ASSERT_TRUE(a.transport->send({"vm-b", 1, "read"}));
+    EXPECT_EQ(b.inbox.wait(1).front().payload, "read");
+    EXPECT_EQ(b.transport->foreignFrames(), 1U);
+}
+
 // Guards against large messages that are truncated or lost because they are sent by TCP instead of UDP.
 TEST(PeerTransport, smallFramesUseUdpAndLargeFramesUseTcp)
 {
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -49,6 +49,11 @@
     bool send(SendPeerAction message);
     void setMembers(const std::vector<Member> &members);
     void setLinkFault(const std::string &vm, LinkFault fault);
+    void setKey(const PeerKey &key);
+    std::uint64_t foreignFrames() const
+    {
+        return m_foreignFrames.load();
+    }
     std::string address() const
     {
         return toString(m_sockets.address);
@@ -68,6 +73,7 @@
     void transmit(const SendPeerAction &message, const std::string &frame, const sockaddr_in &address, Instant now);
     std::optional<sockaddr_in> addressOf(const std::string &vm);
     LinkFault faultOf(const std::string &vm);
+    PeerKey key();
     void receiveDatagrams();
     void onFrame(std::string_view bytes);
     void wakeThread();
@@ -84,7 +90,9 @@
     std::mutex m_sendMutex; ///< Serializes the producers of m_ring; locked for one push.
     Ring<SendPeerAction> m_ring;
     std::atomic<std::uint64_t> m_queuedMessages{0};
-    std::mutex m_peersMutex; ///< Guards m_addresses and m_faults.
+    std::atomic<std::uint64_t> m_foreignFrames{0};
+    std::mutex m_peersMutex; ///< Guards m_key, m_addresses and m_faults.
+    PeerKey m_key;
     std::map<std::string, sockaddr_in> m_addresses;
     std::map<std::string, LinkFault> m_faults;
     std::atomic<bool> m_stop{false};
@@ -104,6 +112,7 @@
     , m_wakeEvent(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     , m_streams(m_epoll.get(), m_settings.streamIdle, [this](std::string_view bytes) { onFrame(bytes); })
     , m_ring(m_settings.ringCapacity)
+    , m_key(m_settings.key)
 {
     watchForInput(m_epoll.get(), m_wakeEvent.get());
     watchForInput(m_epoll.get(), m_sockets.datagram.get());
@@ -166,6 +175,18 @@
     m_faults[vm] = fault;
 }
 
+void PeerTransport::Private::setKey(const PeerKey &key)
+{
+    const std::lock_guard lock(m_peersMutex);
+    m_key = key;
+}
+
+PeerKey PeerTransport::Private::key()
+{
+    const std::lock_guard lock(m_peersMutex);
+    return m_key;
+}
+
 std::optional<sockaddr_in> PeerTransport::Private::addressOf(const std::string &vm)
 {
     const std::lock_guard lock(m_peersMutex);
@@ -255,8 +276,8 @@
     }
     tryOr(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(
-                frame, encodeFrame({m_settings.self, ++m_frameCounter, message.type, message.payload}, m_settings.key));
+            BOOST_LEAF_AUTO(frame,
+                            encodeFrame({m_settings.self, ++m_frameCounter, message.type, message.payload}, key()));
             transmit(message, frame, *address, now);
             return {};
         },
@@ -310,7 +331,7 @@
 {
     tryOr(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(frame, decodeFrame(bytes, m_settings.key));
+            BOOST_LEAF_AUTO(frame, decodeFrame(bytes, key()));
             if (!m_replayWindow.accept(frame.sender, frame.counter)) {
                 m_metrics.counter("galenarock_peer_rejected_total", "reason=\"repeated\"").add();
                 return {};
@@ -328,6 +349,7 @@
         },
         [&](ErrorCode code, const std::string &detail) {
             rejectedCounter(code).add();
+            m_foreignFrames += code == ErrorCode::BadMac ? 1 : 0;
             logEvent(Events::PeerFrameRejected, "dropped received frame: {}: {}", errorMessage(code), detail);
         });
 }
@@ -362,6 +384,16 @@
     m_data->setLinkFault(vm, fault);
 }
 
+void PeerTransport::setKey(const PeerKey &key)
+{
+    m_data->setKey(key);
+}
+
+std::uint64_t PeerTransport::foreignFrames() const
+{
+    return m_data->foreignFrames();
+}
+
 std::string PeerTransport::address() const
 {
     return m_data->address();
