Grant ranges to their holders before moving them after a takeover

Callers saw: keys without a server for 17 s after a change of leader in which the list of servers changed.

Cause: a new leader planned moves at once. A range that it releases before it has granted it may be held under grants that the former leader still makes, until 17 s after the takeover, if the former leader is not known to have stopped. An accepted grant has a higher token, so the server refuses those, and a release after it frees the range at once.

Failed before: LeasesTest.ServerThatJoinsInATakeoverLeavesNoRangeUnserved (59 of 64 positions served 5 s after the takeover began). The planner now takes such a range for busy until its holder has accepted a grant or has failed to answer twice.

--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -105,6 +105,7 @@
 
     // lease calls
     void plan();
+    bool isGrantDue(const LeaseSlice &slice) const;
     LeasePlanLimits planLimits() const;
     bool isExcluded(const Identity &server) const;
     void sendDueCalls();
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -120,6 +120,13 @@
     return limits;
 }
 
+/// Whether earlier grants without an answer may be in force at the holder, which a grant with a higher token ends at
+/// once. After a release alone, the range could go to another server only when they have ended.
+bool LeaseController::Private::isGrantDue(const LeaseSlice &slice) const
+{
+    return !slice.isGranted && m_now < slice.unansweredUntil && slice.failures < FailuresToMove && server(slice.holder);
+}
+
 void LeaseController::Private::plan()
 {
     std::vector<LeaseServer> usable;
@@ -139,7 +146,8 @@
         if (isLost && isWaiting && !it.isBusy() && it.fencingToken == 0 && !mayHold) {
             it.holder = {}; // planned as the next holder, but never sent a grant
         }
-        const bool mayMove = it.openCall == 0 && !it.isBusy() && (!isWaiting || it.holder.name.empty());
+        const bool mayMove =
+            it.openCall == 0 && !it.isBusy() && (!isWaiting || it.holder.name.empty()) && !isGrantDue(it);
         slices.push_back({it.range, it.holder, !mayMove, m_now - it.changedAt < RecentMove});
     }
     for (const auto &it : planLeaseMoves(slices, usable, currentLoad(), limits)) {
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -185,6 +185,20 @@
     }
 }
 
+// A server joins while the leader is cut from everything. Guards against a successor that releases a range for the new
+// server before it has granted it to its holder: it then waits for grants that the former leader may still make, 17 s.
+TEST(LeasesTest, ServerThatJoinsInATakeoverLeavesNoRangeUnserved)
+{
+    const auto simulation = stableSimulation();
+    const auto former = *simulation->leader();
+    simulation->setReaches(former, false);
+    simulation->addServer();
+    simulation->run(seconds(2) + RecoveryLimit);
+    EXPECT_NE(*simulation->leader(), former);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
 // The store is away, so that a restarted server has no new entry. Guards against a leader that waits for the store
 // before it grants the new process its keys, although other daemons follow it.
 TEST(LeasesTest, RestartedServerGetsItsKeysAgainDuringAStoreOutage)
