Let a new leader wait for the end of its predecessor's evidence (OWNER)

Callers saw: a restarted server took its keys under a lower fencing token than its former process had, so that work of the two could be taken in the wrong order.

Cause: a response of the store, and the load reports of any daemon, were evidence of the lead for 500 ms, as another daemon takes the lead only after a longer silence. A daemon that is cut from its peers does so at any moment, by the record alone, and granted all keys at once. The former leader still believed its evidence; servers that ran on refused it, one that restarted had forgotten its tokens.

Rule L10 (docs/platform.md): a successor grants nothing until all evidence that its predecessor may have has ended. A response of the store is valid for 300 ms from its call, and the successor waits as long from the answer to its write. A report binds its sender for 600 ms, and reports are evidence only from all members that are not dead. A follower that has not heard the leader for 300 ms sends none, so its promise rarely delays it. The earlier table stays in use meanwhile.

--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -16,7 +16,8 @@
 /// A server holds a range of keys for the duration of a grant, counted from its arrival. Safety rests on two rules: a
 /// range goes to another server only when no earlier grant of it can be in force any more, and every change of holder
 /// has a higher fencing token. One daemon at a time is the leader of a service. It writes the possible holders to the
-/// platform's store before it sends a lease call, so that the next leader can read them.
+/// platform's store before it sends a lease call, so that the next leader can read them. The next leader makes no grant
+/// before the evidence of its predecessor's lead has ended, since a restarted server refuses no token.
 namespace Galenarock
 {
 
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -37,6 +37,7 @@
     "grants FULL 0"
     "grants NO_DEPUTY_STOP 1" "grants NO_NONCE 1" "grants NO_TOKEN 1" "grants NO_SUCCESSION_FENCE 1"
     "grants NO_HOLD_CAP 1" "grants NO_STAMP 1" "grants NO_IDENTITY 1" "grants NO_OWN_STOP 1"
+    "takeover FULL 0" "takeover BEFORE 1" "takeover NO_WAIT 1" "takeover NO_ALL 1" "takeover NO_PROMISE 1"
     "permits FULL 0"
     "permits NO_PERMIT 1" "permits NO_EMPTY_RING 1" "permits NO_IN_FLIGHT 1"
 )
--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -421,9 +421,14 @@
 void LeaseController::Private::onMembers(const MembersEvent &event)
 {
     m_members = event.members;
+    std::vector<std::string> others;
     for (const auto &it : m_members) {
         m_knownProcesses.insert(it.identity);
+        if (it.identity.name != m_settings.self.name && it.status != MemberStatus::Dead) {
+            others.push_back(it.identity.name);
+        }
     }
+    m_leadProof.setOthers(std::move(others));
     const bool areAllAlive = m_members.size() > 1
         && std::all_of(m_members.begin(), m_members.end(),
                        [](const Member &it) { return it.status == MemberStatus::Alive; });
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -101,6 +101,8 @@
     void limitToOneGrant();
     void dropReplacedLeaders();
     void tellStopped(const std::string &leader, const LeaseNotice &notice);
+    /// Whether an earlier leader may still have evidence of its lead and grant keys to a restarted server.
+    bool mayFormerLeaderGrant() const;
     void removeFormerLeaders(const std::function<bool(const Identity &)> &hasStopped);
 
     // lease calls
@@ -183,6 +185,8 @@
 
     // followers
     Instant m_leaderHeardAt{};
+    /// Last load report to another daemon, which takes it as evidence of its lead.
+    Instant m_reportedAt{};
     /// Highest epoch seen in a message or a record.
     std::uint32_t m_seenEpoch = 0;
     /// Highest epoch of a leader that this daemon has heard.
@@ -207,6 +211,8 @@
     // leader
     Instant m_leadingSince{};
     LeadProof m_leadProof;
+    /// End of all evidence that an earlier leader may have when this daemon takes the lead.
+    Instant m_formerProofEndsAt{};
     /// Last report of another daemon that a server has answered it.
     Instant m_otherContactAt{};
     /// This VM has reached servers since it took the lead.
--- a/src/leases/leadproof_p.h
+++ b/src/leases/leadproof_p.h
@@ -1,24 +1,36 @@
 #pragma once
 
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
 #include <galenarock/leases.h>
 
 namespace Galenarock
 {
 
-/// Evidence of a leader that no other daemon has taken the lead unheard.
+/// Evidence of a leader that no other daemon makes grants as its successor.
+///
+/// It comes from the store, or from the load reports of other daemons. A response of the store is valid for
+/// StoreLifetime after its call was sent, since a successor makes no grant for that time after it has taken the lead. A
+/// report is valid for ReportLifetime after its arrival: its sender makes no grant for that time, but any other daemon
+/// may take the lead by the record, so the reports are evidence only when they come from every other daemon that may
+/// run.
 ///
-/// Another daemon takes it only after it has not heard this one for LeaseSettings::takeoverAfter, so evidence is valid
-/// for less than that. It comes from the store, or from the load reports that other daemons send to the leader. Reports
-/// count after they have come for two announcement intervals, within which a new leader would have been heard: those
-/// that waited in a connection during a partition arrive at its end. They count only while servers accept the renewals
-/// of this leader, since a new one grants all ranges again at once and the servers then refuse this one: the daemons
-/// that report may be cut off together with it.
+/// Reports count after they have come for two announcement intervals, within which a new leader would have been heard:
+/// those that waited in a connection during a partition arrive at its end. They count only while servers accept the
+/// renewals of this leader.
 class LeadProof
 {
 public:
+    /// Time after the sending of a call to the store for which its response is valid.
+    static constexpr Duration StoreLifetime = milliseconds(300);
+    /// Time after the arrival of a report for which it is valid; reports come each 250 ms.
+    static constexpr Duration ReportLifetime = milliseconds(500);
+
     explicit LeadProof(const LeaseSettings &settings)
-        : m_lifetime(settings.takeoverAfter - settings.announceEvery)
-        , m_settleTime(2 * settings.announceEvery)
+        : m_settleTime(2 * settings.announceEvery)
         , m_acceptedLifetime(settings.renewEvery + settings.sendWithin)
     {
     }
@@ -34,36 +46,57 @@
         m_acceptedAt = now;
     }
     /// Another daemon has reported to this leader.
-    void reported(Instant now)
+    void reported(const std::string &daemon, Instant now)
     {
         if (now >= m_acceptedAt + m_acceptedLifetime) {
             return;
         }
-        m_reportsSince = now < m_reportedAt + m_lifetime ? m_reportsSince : now;
-        m_reportedAt = now;
+        auto &it = m_reports[daemon];
+        it.since = now < it.lastAt + ReportLifetime ? it.since : now;
+        it.lastAt = now;
+    }
+    /// Sets the other daemons that may run.
+    void setOthers(std::vector<std::string> others)
+    {
+        m_others = std::move(others);
     }
     /// Until when the evidence is valid; in the past if there is none.
     Instant validUntil() const
     {
-        const bool areReportsValid = m_reportedAt - m_reportsSince >= m_settleTime;
-        return std::max(m_confirmedAt, areReportsValid ? m_reportedAt : Instant()) + m_lifetime;
+        return std::max(m_confirmedAt + StoreLifetime, reportsValidUntil());
     }
     /// Call when the lead is taken: earlier evidence concerns another epoch.
     void reset()
     {
         m_confirmedAt = {};
-        m_reportedAt = {};
-        m_reportsSince = {};
+        m_reports.clear();
         m_acceptedAt = {};
     }
 
 private:
-    Duration m_lifetime;
+    struct Reports
+    {
+        Instant since{};
+        Instant lastAt{};
+    };
+
+    Instant reportsValidUntil() const
+    {
+        auto until = m_others.empty() ? Instant() : Instant::max();
+        for (const auto &it : m_others) {
+            const auto found = m_reports.find(it);
+            const auto reports = found == m_reports.end() ? Reports() : found->second;
+            const bool isSettled = reports.lastAt - reports.since >= m_settleTime;
+            until = std::min(until, isSettled ? reports.lastAt + ReportLifetime : Instant());
+        }
+        return until;
+    }
+
     Duration m_settleTime;
     Duration m_acceptedLifetime;
+    std::vector<std::string> m_others;
+    std::map<std::string, Reports> m_reports;
     Instant m_confirmedAt{};
-    Instant m_reportedAt{};
-    Instant m_reportsSince{};
     Instant m_acceptedAt{};
 };
 
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -245,11 +245,12 @@
 }
 
 /// Whether a call may go to a process that this leader has not granted keys to before. It has seen no token of a
-/// successor, so it would accept one of a leader that has lost the lead. An accepted token needs no proof, since it
-/// goes only to the process that has accepted it.
+/// successor, so it would accept one of a leader that has lost the lead; a successor makes no such call before the
+/// evidence of its predecessor has ended. An accepted token needs no proof, since it goes only to the process that has
+/// accepted it.
 bool LeaseController::Private::isLeadProven(LeaseSlice &slice)
 {
-    if (m_now < m_leadProof.validUntil()) {
+    if (m_now < m_leadProof.validUntil() && !mayFormerLeaderGrant()) {
         return true;
     }
     readRecord();
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -42,13 +42,16 @@
 constexpr Duration LongestTablePause = milliseconds(100);
 /// Time after which a leader that still waits for earlier ones is told again that this daemon has stopped.
 constexpr Duration StoppedInterval = milliseconds(500);
+/// Announcement intervals after which a follower that has not heard the leader sends it no reports.
+constexpr int UnheardAnnouncements = 2;
 /// Minimum time between two requests for the table: a second reply would only add load to the leader's network link.
 constexpr Duration TableRequestInterval = milliseconds(250);
 }
 
+/// The table of the earlier leader stays in use until this one may make grants: the servers hold their keys meanwhile.
 void LeaseController::Private::publishIfChanged()
 {
-    if (m_role != LeaseRole::Leader || m_slices.all().empty() || !m_isTableStale) {
+    if (m_role != LeaseRole::Leader || m_slices.all().empty() || !m_isTableStale || mayFormerLeaderGrant()) {
         return;
     }
     m_isTableStale = false;
@@ -250,11 +253,17 @@
     }
 }
 
+/// A report is evidence of the lead for its receiver (LeadProof), and this daemon makes no grant while it is valid. So
+/// a follower that is about to take the lead sends none.
 void LeaseController::Private::addLoad(const KeyLoad &load)
 {
     if (m_role == LeaseRole::Leader) {
         receiveLoad(m_settings.self.name, load);
-    } else if (!m_leaderName.empty() && m_leaderName != m_settings.self.name) {
+        return;
+    }
+    const bool isHeard = m_now - m_leaderHeardAt <= UnheardAnnouncements * m_settings.announceEvery;
+    if (m_role == LeaseRole::Follower && isHeard && !m_leaderName.empty() && m_leaderName != m_settings.self.name) {
+        m_reportedAt = m_now;
         sendPeer(m_leaderName, LeaseMessage::Load, encode(load));
     }
 }
@@ -262,7 +271,7 @@
 void LeaseController::Private::receiveLoad(const std::string &daemon, const KeyLoad &load)
 {
     if (daemon != m_settings.self.name) {
-        m_leadProof.reported(m_now);
+        m_leadProof.reported(daemon, m_now);
         m_otherContactAt = load.hasServerContact ? m_now : m_otherContactAt;
     }
     for (const auto &[position, count] : load.positions) {
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -34,6 +34,10 @@
 /// Age up to which a report shows that another daemon reaches servers; reports come each 250 ms.
 constexpr Duration ContactReportLifetime = milliseconds(500);
 constexpr Duration FirstDivisionLatest = seconds(3);
+/// Longest time from the sending of a load report to its arrival in a sound connection.
+constexpr Duration ReportDelay = milliseconds(100);
+/// Time before the first grants at which the record is read as evidence for them.
+constexpr Duration ProofReadAhead = milliseconds(100);
 }
 
 void LeaseController::Private::drawLateTakeoverDelay()
@@ -198,6 +202,9 @@
     m_leadingSince = m_now;
     m_leadProof.reset();
     m_leadProof.confirmed(m_writeSentAt);
+    m_formerProofEndsAt =
+        std::max(m_now + LeadProof::StoreLifetime, m_reportedAt + LeadProof::ReportLifetime + ReportDelay);
+    m_nextReadAt = m_formerProofEndsAt - ProofReadAhead;
     m_nextSequence = 1;
     m_unresolvedWrites.clear();
     m_mayHandOver = m_reachesServers; // otherwise no other daemon took the lead
@@ -240,6 +247,11 @@
     m_slices.limitGrantEnds(latestGrantEnd(m_now));
 }
 
+bool LeaseController::Private::mayFormerLeaderGrant() const
+{
+    return !m_former.empty() && m_now < m_formerProofEndsAt;
+}
+
 void LeaseController::Private::removeFormerLeaders(const std::function<bool(const Identity &)> &hasStopped)
 {
     if (m_role != LeaseRole::Leader || m_former.empty()) {
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -185,6 +185,27 @@
     }
 }
 
+// A daemon that is cut from the other ones takes the lead by the record, and a server that it has granted keys to
+// restarts. Guards against a grant of the former leader to the new process, under a lower token, on the word of the
+// third daemon or of a response of the store from before (OWNER). In every other phase the former leader is cut from
+// the store.
+TEST(LeasesTest, LeaderReplacedByACutDaemonGrantsNothingToALaterProcess)
+{
+    for (int phase = 0; phase < 80; ++phase) {
+        const auto simulation = stableSimulation();
+        const auto former = *simulation->leader();
+        const std::size_t successor = former == 2 ? 1 : 2;
+        simulation->daemons[successor].reachesPeers = false;
+        simulation->run(milliseconds(400));
+        simulation->daemons[former].reachesStore = phase % 2 == 0;
+        simulation->run(milliseconds(200 + 10 * phase));
+        simulation->restartServerUnseen(1);
+        simulation->run(seconds(3));
+        EXPECT_EQ(simulation->violation, "") << "phase " << phase;
+        EXPECT_GT(simulation->daemons[*simulation->leader()].controller->epoch(), 1U) << "no other leader";
+    }
+}
+
 // A server joins while the leader is cut from everything. Guards against a successor that releases a range for the new
 // server before it has granted it to its holder: it then waits for grants that the former leader may still make, 17 s.
 TEST(LeasesTest, ServerThatJoinsInATakeoverLeavesNoRangeUnserved)
@@ -1061,5 +1082,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LeasesChaosTest, testing::Combine(testing::Range(1, 101), testing::Values(false)));
+// Seeds that broke a rule before their fault was mended.
+INSTANTIATE_TEST_SUITE_P(Regressions, LeasesChaosTest,
+                         testing::Values(std::make_tuple(4373, true), std::make_tuple(9266, false),
+                                         std::make_tuple(11372, true), std::make_tuple(19206, false)));
 INSTANTIATE_TEST_SUITE_P(RestoredStore, LeasesChaosTest,
                          testing::Combine(testing::Range(1, 101), testing::Values(true)));
