Answer an upload that is refused while its caller pauses

A server that refused a streamed body while its caller paused in it was not heard: libcurl sends no more after an early failure, but a transfer whose sending is paused does not end. The caller got the refusal only when it sent more of the body, else at the route's timeout, and the attempt kept its place at the server until then.

The head of an answer now resumes a paused body. If the server still wants the rest, libcurl asks for it and is paused again.

--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -358,6 +358,8 @@
 {
     AttemptHooks hooks;
     hooks.onHead = [this, request](unsigned status, std::vector<HeaderField> headers) {
+        // After an early failure libcurl sends no more of the body, but the transfer does not end while it is paused.
+        scheduleResume(request, request->sendingPaused);
         return handleHead(request, status, std::move(headers));
     };
     hooks.onData = [this, request](const char *bytes, std::size_t n) {
--- a/src/proxy/tests/notruntest.cpp
+++ b/src/proxy/tests/notruntest.cpp
@@ -738,6 +738,26 @@
     EXPECT_EQ(first.requests() + second.requests(), 1);
 }
 
+// The server refuses while the caller pauses in its body. Guards against a refusal that reaches the caller only when it
+// goes on, or at the route's timeout.
+TEST_F(NotRunTest, UploadThatIsRefusedWhileItsCallerPausesIsAnswered)
+{
+    RawServer server([this](int, const std::string &) {
+        runWhileHeld();
+        --runs;
+        return refusal(503);
+    });
+    routeTimeoutMs = 3'600'000; // longer than the passes of isAnswered() take
+    start({server.address()});
+    RawCaller caller(worker.address());
+    caller.send(Chunked);
+    sendChunks(caller, StreamedBytes, [] { return false; });
+    ASSERT_TRUE(runUntil([&] { return server.requests() == 1; }));
+    settle();
+    isHeld = false;
+    expectAnswer(caller, 503, "shed", 0);
+}
+
 // Guards against a promise, or 413 for a request of which a server has the beginning.
 TEST_F(NotRunTest, UploadThatGrowsTooLargeMayHaveRun)
 {
