Count an upload once in the retry budget while it waits

An upload that waited for the owner of its key, or for a permit, was admitted again with each piece of its body that arrived: it deposited into the retry budget each time, asked for a further permit, and stood in the list of waiting requests several times. It was sent once, as the later entries found it sent.

A request now records that its body is ready, and later pieces only resume a paused body. The number of attempts, which stood in for that, is 0 while a request waits or goes through another VM.

--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -89,6 +89,8 @@
     std::uint64_t bodyReceived = 0;
     /// The body is being buffered until it ends or exceeds the size up to which it is kept for retries.
     bool collectsBody = false;
+    /// The body is complete, or streamed from now on: the request has been counted and may be sent.
+    bool isBodyReady = false;
     /// Number of bytes of `body` that a streaming attempt has sent.
     std::size_t prefixSent = 0;
 
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -158,10 +158,10 @@
         return;
     }
     if (request->streamsBody) {
-        if (request->plan->attempts() == 0 && !request->isQueued && !request->attempt) {
-            bodyReady(request);
-        } else {
+        if (request->isBodyReady) {
             scheduleResume(request, request->sendingPaused);
+        } else {
+            bodyReady(request);
         }
         return;
     }
@@ -176,6 +176,7 @@
 void RequestHandler::bodyReady(const Pending &request)
 {
     m_now = MonotonicClock::now();
+    request->isBodyReady = true;
     if (request->rule) {
         admitRouted(request);
         return;
--- a/src/proxy/tests/notruntest.cpp
+++ b/src/proxy/tests/notruntest.cpp
@@ -821,6 +821,24 @@
     EXPECT_EQ(attempts(), 1U);
 }
 
+// The same in the budget: an upload counts as one request. Guards against retries beyond the share of requests
+// (BUDGET).
+TEST_F(NotRunTest, UploadThatWaitsForAnOwnerCountsOnceInTheRetryBudget)
+{
+    constexpr std::size_t heldBytes = 200 << 10; // of a body, beyond what is kept for retries
+    RawServer server([](int, const std::string &) { return refusal(421); });
+    shared.setRetryLimits({10, 0}); // more than ten requests allow one retry
+    setRoutes({server.address()}, Distribution::Keyed, false);
+    listen();
+    RawCaller upload(worker.address());
+    upload.send(Chunked);
+    sendChunks(upload, StreamedBytes + heldBytes, [] { return false; });
+    setRoutes({server.address()}, Distribution::Keyed);
+    ASSERT_TRUE(isAnswered(upload));
+    expectAnswer(503, "retry-budget", 0);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 // Callers.
 
 // Guards against starting a request that may run once behind another one whose answer closes the connection: its caller
