--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -158,10 +158,10 @@
         return;
     }
     if (request->streamsBody) {
-        if (request->plan->attempts() == 0 && !request->isQueued && !request->attempt) {
-            bodyReady(request);
-        } else {
+        if (request->isBodyReady) {
             scheduleResume(request, request->sendingPaused);
+        } else {
+            bodyReady(request);
         }
         return;
     }
@@ -176,6 +176,7 @@
 void RequestHandler::bodyReady(const Pending &request)
 {
     m_now = MonotonicClock::now();
+    request->isBodyReady = true;
     if (request->rule) {
         admitRouted(request);
         return;
@@ -358,6 +359,8 @@
 {
     AttemptHooks hooks;
     hooks.onHead = [this, request](unsigned status, std::vector<HeaderField> headers) {
+        // After an early failure libcurl sends no more of the body, but the transfer does not end while it is paused.
+        scheduleResume(request, request->sendingPaused);
         return handleHead(request, status, std::move(headers));
     };
     hooks.onData = [this, request](const char *bytes, std::size_t n) {
--- a/src/proxy/tests/notruntest.cpp
+++ b/src/proxy/tests/notruntest.cpp
@@ -738,6 +738,26 @@
     EXPECT_EQ(first.requests() + second.requests(), 1);
 }
 
+// The server refuses while the caller pauses in its body. Guards against a refusal that reaches the caller only when it
+// goes on, or at the route's timeout.
+TEST_F(NotRunTest, UploadThatIsRefusedWhileItsCallerPausesIsAnswered)
+{
+    RawServer server([this](int, const std::string &) {
+        runWhileHeld();
+        --runs;
+        return refusal(503);
+    });
+    routeTimeoutMs = 3'600'000; // longer than the passes of isAnswered() take
+    start({server.address()});
+    RawCaller caller(worker.address());
+    caller.send(Chunked);
+    sendChunks(caller, StreamedBytes, [] { return false; });
+    ASSERT_TRUE(runUntil([&] { return server.requests() == 1; }));
+    settle();
+    isHeld = false;
+    expectAnswer(caller, 503, "shed", 0);
+}
+
 // Guards against a promise, or 413 for a request of which a server has the beginning.
 TEST_F(NotRunTest, UploadThatGrowsTooLargeMayHaveRun)
 {
@@ -801,6 +821,24 @@
     EXPECT_EQ(attempts(), 1U);
 }
 
+// The same in the budget: an upload counts as one request. Guards against retries beyond the share of requests
+// (BUDGET).
+TEST_F(NotRunTest, UploadThatWaitsForAnOwnerCountsOnceInTheRetryBudget)
+{
+    constexpr std::size_t heldBytes = 200 << 10; // of a body, beyond what is kept for retries
+    RawServer server([](int, const std::string &) { return refusal(421); });
+    shared.setRetryLimits({10, 0}); // more than ten requests allow one retry
+    setRoutes({server.address()}, Distribution::Keyed, false);
+    listen();
+    RawCaller upload(worker.address());
+    upload.send(Chunked);
+    sendChunks(upload, StreamedBytes + heldBytes, [] { return false; });
+    setRoutes({server.address()}, Distribution::Keyed);
+    ASSERT_TRUE(isAnswered(upload));
+    expectAnswer(503, "retry-budget", 0);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 // Callers.
 
 // Guards against starting a request that may run once behind another one whose answer closes the connection: its caller
