--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -111,6 +111,9 @@
 void LeaseController::Private::onStoreEra(std::uint64_t era)
 {
     const bool isRestored = m_storeEra != 0 && era > m_storeEra;
+    if (era > m_storeEra) {
+        m_unchangedSince = m_now;
+    }
     m_storeEra = std::max(m_storeEra, era);
     if (!isRestored) {
         return;
@@ -123,7 +126,6 @@
     m_record.reset();
     m_recordVersion = 0;
     m_unchangedVersion = 0;
-    m_unchangedSince = m_now;
 }
 
 void LeaseController::Private::onRecord(const ObjectEvent &event)
@@ -160,6 +162,7 @@
         adoptAsLeader(*record);
         return;
     }
+    noteTakeovers(record->epoch, record->leader.name);
     m_record = record;
     const bool isNewEpoch = record->epoch > m_seenEpoch;
     m_seenEpoch = std::max(m_seenEpoch, record->epoch);
@@ -182,6 +185,9 @@
         restoreRecord(fmt::format("epoch {}", record.epoch));
         return;
     }
+    if (record.epoch > m_epoch && record.leader != m_settings.self && !record.leader.name.empty()) {
+        noteChanges(1);
+    }
     m_record = record;
     m_seenEpoch = std::max(m_seenEpoch, record.epoch);
     if (isLost || record.epoch > m_epoch || record.leader != m_settings.self) {
@@ -279,6 +285,9 @@
         return;
     }
     m_unresolvedWrites.clear();
+    if (m_role == LeaseRole::Candidate && m_record && !m_record->leader.name.empty()) {
+        noteChanges(1);
+    }
     m_record = m_writing;
     m_recordVersion = event.current.version;
     m_recordEra = event.current.era;
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -66,6 +66,10 @@
     void drawLateTakeoverDelay();
     bool isLateInTakeoverOrder() const;
     void trackUnchangedRecord();
+    bool isOfMajority() const;
+    bool isRecordDecisive() const;
+    void noteTakeovers(std::uint32_t epoch, const std::string &leader);
+    void noteChanges(std::uint32_t count);
     void tryTakeOver();
     void readRecord();
     void adopt(const StoredObject &object);
@@ -197,6 +201,11 @@
     /// Version of the record and since when it is unchanged, to detect that the leader no longer renews it.
     std::uint64_t m_unchangedVersion = 0;
     Instant m_unchangedSince{};
+    /// Latest epoch whose leader said that it has stopped.
+    std::uint32_t m_stoppedEpoch = 0;
+    /// Takeovers that each followed the one before quickly, and when the last one was seen.
+    std::uint32_t m_quickChanges = 0;
+    Instant m_changeSeenAt{};
     /// Random addition to the takeover delay for daemons far back in the takeover order.
     Duration m_lateTakeoverDelay{};
     /// Last change of the list of servers, and the time at which it got its first entry.
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -185,6 +185,7 @@
         if (m_role == LeaseRole::Leader) {
             removeFormerLeaders([&](const Identity &it) { return it == event.sender; });
         } else if (m_role == LeaseRole::Follower && notice.epoch >= m_seenEpoch) {
+            m_stoppedEpoch = notice.epoch;
             // There is no leader: the position in the takeover order alone determines the delay.
             m_leaderHeardAt = std::min(m_leaderHeardAt, m_now - m_settings.takeoverAfter);
         }
@@ -201,6 +202,7 @@
         }
         return;
     }
+    noteTakeovers(notice.epoch, event.sender.name);
     m_seenEpoch = notice.epoch;
     m_heardEpoch = notice.epoch;
     m_leaderHeardAt = m_now;
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -28,6 +28,12 @@
 /// Time for which all members must have been alive before no unknown leader is left: a member that does not answer is
 /// suspected earlier, and one that does has heard this leader and stopped.
 constexpr Duration UnknownLeaderSilence = seconds(3);
+/// Takeovers that follow each other within this time count as quick: a daemon takes over after 0.65 s to 2.3 s.
+constexpr Duration QuickChangeTime = seconds(5);
+/// One leader that is lost, and a successor that is lost as well, are no contest.
+constexpr std::uint32_t MaxQuickChanges = 3;
+/// Time without a change of the leader after which a contest is over for daemons that hear the leader.
+constexpr Duration ContestMemory = seconds(60);
 /// At the first start of a deployment the ranges are divided once the list of servers is stable, which avoids a move
 /// for each server that registers.
 constexpr Duration FirstDivisionQuiet = milliseconds(500);
@@ -79,11 +85,66 @@
     }
 }
 
+/// Whether most of the known daemons are alive for this one and have been heard, themselves or through others: one that
+/// is only listed has no boot number yet.
+bool LeaseController::Private::isOfMajority() const
+{
+    const auto alive = std::count_if(m_members.begin(), m_members.end(), [](const Member &it) {
+        return it.status == MemberStatus::Alive && it.identity.boot != 0;
+    });
+    return 2 * static_cast<std::size_t>(alive) > m_members.size();
+}
+
+/// Whether the silence of the leader is no evidence that it has stopped, so that only a record that stays unchanged is.
+///
+/// A leader that this daemon has never heard wrote the record, so it runs, or did; in the minority of a partition that
+/// is all there is to know. In a restored store without a record the leader may be about to write it again. And where
+/// leaders follow each other quickly, daemons do not hear each other, whatever the cause and whoever is right: each
+/// would take the lead again.
+bool LeaseController::Private::isRecordDecisive() const
+{
+    if (!m_record) {
+        return m_storeEra > FirstEra && m_heardEpoch == 0;
+    }
+    if (m_record->leader.name.empty() || m_record->leader.name == m_settings.self.name) {
+        return false;
+    }
+    const bool isUnheard = m_heardEpoch < m_record->epoch;
+    const bool isContested = m_quickChanges >= MaxQuickChanges && (isUnheard || m_now - m_changeSeenAt < ContestMemory);
+    return isContested || (isUnheard && !isOfMajority());
+}
+
+/// Counts the takeovers since the epoch that this daemon knew, unless the last leader had handed its lead over.
+void LeaseController::Private::noteTakeovers(std::uint32_t epoch, const std::string &leader)
+{
+    const auto known = std::max(m_record ? m_record->epoch : 0, m_heardEpoch);
+    const bool isHandedOver =
+        m_stoppedEpoch == known || (m_record && m_record->epoch == known && m_record->leader.name.empty());
+    if (known == 0 || epoch <= known || isHandedOver || leader == m_leaderName) {
+        return;
+    }
+    // The epoch rises by one with each takeover, but leaps in a restored store.
+    const bool hasLeapt = epoch >> EpochBitsPerEra != known >> EpochBitsPerEra;
+    noteChanges(hasLeapt ? 1 : epoch - known);
+}
+
+/// Once takeovers that follow each other quickly are a contest, later ones belong to it.
+void LeaseController::Private::noteChanges(std::uint32_t count)
+{
+    const auto age = m_now - m_changeSeenAt;
+    const bool isContinued = age < QuickChangeTime || (m_quickChanges >= MaxQuickChanges && age < ContestMemory);
+    m_quickChanges = std::min((isContinued ? m_quickChanges : 0) + count, MaxQuickChanges);
+    m_changeSeenAt = m_now;
+}
+
 void LeaseController::Private::runAsFollower()
 {
     if (m_servers.empty() || m_role == LeaseRole::Candidate) {
         return;
     }
+    if (m_record && isRecordDecisive() && m_now - m_unchangedSince < RecordRenewalTimeout) {
+        return; // an earlier read decides nothing
+    }
     const bool isRecordReadDue = isLateInTakeoverOrder() && m_now - m_leaderHeardAt >= m_settings.takeoverAfter
         && m_now - m_unchangedSince >= RecordRenewalTimeout;
     if (isRecordReadDue || m_now - m_leaderHeardAt >= takeoverDelay()) {
@@ -94,8 +155,8 @@
 void LeaseController::Private::tryTakeOver()
 {
     trackUnchangedRecord();
-    const bool isRecordUnchanged =
-        !m_record || !isLateInTakeoverOrder() || m_now - m_unchangedSince >= RecordRenewalTimeout;
+    const bool mustBeUnchanged = isRecordDecisive() || (m_record && isLateInTakeoverOrder());
+    const bool isRecordUnchanged = !mustBeUnchanged || m_now - m_unchangedSince >= RecordRenewalTimeout;
     const bool isDue = m_now - m_leaderHeardAt >= takeoverDelay() && isRecordUnchanged;
     if (!isDue || m_isStopping || m_role != LeaseRole::Follower || m_servers.empty() || m_openWrite != 0) {
         return;
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -122,6 +122,7 @@
     daemon.reach = ServerReach();
     daemon.serversVersion = 0;
     daemon.isSuspended = false;
+    daemon.hasReachedPeers = false;
     LeaseSettings settings;
     settings.self = daemon.identity;
     settings.service = "shop";
@@ -232,6 +233,8 @@
             const auto status =
                 !it.controller ? MemberStatus::Dead : (isCutOff ? MemberStatus::Suspect : MemberStatus::Alive);
             event.members.push_back({it.identity, "a", "", "", status, true, it.cpuPercent});
+            const bool isHeard = other == n || daemons[n].hasReachedPeers;
+            event.members.back().identity.boot = isHeard ? it.identity.boot : 0;
         }
         deliver(n, event);
     }
@@ -248,7 +251,8 @@
     bool hasChanged = false;
     for (auto &it : daemons) {
         it.reachedPeersAt = it.reachesPeers ? now : it.reachedPeersAt;
-        hasChanged = hasChanged || it.wasSuspected != isSuspected(it);
+        const bool isFirst = it.reachesPeers && it.controller && !std::exchange(it.hasReachedPeers, true);
+        hasChanged = hasChanged || isFirst || it.wasSuspected != isSuspected(it);
         it.wasSuspected = isSuspected(it);
     }
     if (hasChanged) {
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -102,6 +102,8 @@
         /// When it last reached the other daemons, and whether they suspected it at the last look.
         Instant reachedPeersAt{};
         bool wasSuspected = false;
+        /// Its process has reached the other daemons at some time. Before, it knows them by name only.
+        bool hasReachedPeers = false;
         /// Era of the store that it has seen.
         std::uint64_t era = 0;
         /// When the calls made so far have left the VM.
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -948,6 +948,75 @@
     EXPECT_EQ(simulation->violation, "");
 }
 
+namespace
+{
+std::uint64_t recordedEpoch(const LeaseSimulation &simulation)
+{
+    return simulation.record()->value["epoch"].get<std::uint64_t>();
+}
+
+/// Time within which a deployment must have recovered from any fault.
+constexpr Duration LongRecoveryLimit = seconds(15);
+}
+
+// A daemon reaches the store and the servers, but no other daemon, for good. Guards against daemons that take the lead
+// from each other without an end (review/2, RECOVER), and against a lead of the daemon that the others do not hear.
+TEST(LeasesTest, DaemonThatHearsNoOtherDoesNotKeepTakingTheLead)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::size_t cut = 0; cut < 3; ++cut) {
+            const auto simulation = stableSimulation(seed);
+            simulation->daemons[cut].reachesPeers = false;
+            simulation->run(LongRecoveryLimit);
+            const auto epoch = recordedEpoch(*simulation);
+            EXPECT_NE(simulation->leader(), cut) << seed;
+            simulation->run(seconds(30));
+            EXPECT_EQ(recordedEpoch(*simulation), epoch) << seed << " " << cut;
+            EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << seed << " " << cut;
+            EXPECT_EQ(simulation->violation, "");
+        }
+    }
+}
+
+// Two halves of the fleet do not hear each other's leader, and each takes the other for alive. Guards against leaders
+// in turn that no member table shows.
+TEST(LeasesTest, HalvesThatDoNotHearEachOthersLeaderKeepOne)
+{
+    for (const std::size_t count : {2, 6, 20}) {
+        LeaseSimulation simulation(count, count, 5);
+        simulation.run(seconds(4));
+        for (std::size_t n = 0; n < count; n += 2) {
+            simulation.daemons[n].peerSide = 1;
+        }
+        simulation.run(LongRecoveryLimit);
+        const auto epoch = recordedEpoch(simulation);
+        simulation.run(seconds(120));
+        EXPECT_EQ(recordedEpoch(simulation), epoch) << count;
+        EXPECT_EQ(simulation.servedPositions(), positionCount(simulation)) << count;
+        EXPECT_EQ(simulation.violation, "");
+    }
+}
+
+// A daemon starts in a store that has lost the record, and does not hear the leader, which has not written it again
+// yet. Guards against a second leader that knows no holder and lets all keys wait for 17 s.
+TEST(LeasesTest, DaemonThatStartsInAnEmptyStoreLeavesTheLeadToTheOneThatHasIt)
+{
+    for (int phase = 0; phase < 15; ++phase) {
+        const auto simulation = stableSimulation();
+        const auto leader = *simulation->leader();
+        const auto started = (leader + 1) % 3;
+        simulation->killDaemon(started);
+        simulation->daemons[started].reachesPeers = false;
+        simulation->run(seconds(3) + phase * milliseconds(100));
+        simulation->restoreStore(seconds(600));
+        simulation->startDaemon(started);
+        simulation->run(seconds(5));
+        EXPECT_EQ(simulation->leader(), leader) << phase;
+        EXPECT_EQ(simulation->leaderCount(), 1U) << phase;
+        EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation)) << phase;
+    }
+}
+
 // Injects random faults, one at a time and combined. The test parameters are the seed and the set of faults.
 class LeasesChaosTest : public testing::TestWithParam<std::tuple<int, bool>>
 {
