--- a/src/proxy/tests/staleanswertest.cpp
+++ b/src/proxy/tests/staleanswertest.cpp
@@ -38,16 +38,23 @@
     return std::make_shared<const RequestDialect>(std::move(dialect));
 }
 
-/// A server that refuses the first attempt of each request whose id begins with "r-" and runs the next one. If that
-/// comes over the connection of the refusal, a copy of the refusal precedes its answer.
+/// A server that refuses or fails the first attempt of each request whose id begins with "r-" and runs the next one. If
+/// that comes over the connection of the first one, a copy of the first answer precedes its answer.
 class CopyingServer
 {
 public:
-    explicit CopyingServer(int status)
-        : m_status(status)
+    /// Returns the answer to the first attempt of a request with the id.
+    using FirstAnswer = std::function<std::string(const std::string &id)>;
+
+    explicit CopyingServer(FirstAnswer firstAnswer)
+        : m_firstAnswer(std::move(firstAnswer))
         , m_server([this](int, const std::string &request) { return answer(idOf(request)); })
     {
     }
+    explicit CopyingServer(int status)
+        : CopyingServer([status](const std::string &id) { return refusal(status, id); })
+    {
+    }
 
     std::string address() const
     {
@@ -77,13 +84,13 @@
         const auto [it, isFirst] = m_refusedOn.emplace(id, connection);
         if (isFirst) {
             ++m_refusals;
-            return refusal(m_status, id);
+            return m_firstAnswer(id);
         }
         ++m_runs;
-        return it->second == connection ? refusal(m_status, id) + success(id) : success(id);
+        return it->second == connection ? m_firstAnswer(id) + success(id) : success(id);
     }
 
-    const int m_status;
+    const FirstAnswer m_firstAnswer;
     std::map<std::string, int> m_refusedOn;
     std::atomic<int> m_refusals{0};
     std::atomic<int> m_runs{0};
@@ -127,6 +134,20 @@
         return received.size() > 12 ? std::stoi(received.substr(9, 3)) : 0;
     }
 
+    /// An idempotent request whose first attempt ends with `statusLine`, without a statement that it has not run.
+    void expectSuccessAfterACopyOf(const std::string &statusLine)
+    {
+        CopyingServer server([&](const std::string &id) {
+            return fmt::format("HTTP/1.1 {}\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx", statusLine, id);
+        });
+        repeatability = Repeatability::Idempotent;
+        maxAttempts = 2;
+        start({server.address()});
+        fillRetryBudget();
+        EXPECT_EQ(statusOf("r-1"), 200);
+        EXPECT_EQ(server.runs(), 1);
+    }
+
     /// Sends requests that succeed until the retry budget allows a retry.
     void fillRetryBudget()
     {
@@ -405,57 +426,13 @@
 // the answer to the second attempt.
 TEST_F(StaleAnswerTest, RepeatedFailureOfAnIdempotentRequestIsNotBelieved)
 {
-    constexpr char failure[] = "HTTP/1.1 500 Failed\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx";
-    std::atomic<int> attempts{0};
-    int failedOn = 0;
-    RawServer *self = nullptr;
-    RawServer server([&](int, const std::string &request) {
-        const auto id = idOf(request);
-        if (id == "first") {
-            return success(id);
-        }
-        const auto copy = fmt::format(failure, id);
-        if (++attempts == 1) {
-            failedOn = self->connections();
-            return copy;
-        }
-        return failedOn == self->connections() ? copy + success(id) : success(id);
-    });
-    self = &server;
-    repeatability = Repeatability::Idempotent;
-    maxAttempts = 2;
-    start({server.address()});
-    fillRetryBudget();
-    EXPECT_EQ(statusOf("r-1"), 200);
-    EXPECT_EQ(attempts, 2);
+    expectSuccessAfterACopyOf("500 Failed");
 }
 
 // As above for a status that promises that the request has not run, without a statement of the server that it has not.
 TEST_F(StaleAnswerTest, RepeatedUnconfirmedRefusalOfAnIdempotentRequestIsNotBelieved)
 {
-    constexpr char failure[] = "HTTP/1.1 429 Too Many Requests\r\nRequest: {}\r\nContent-Length: 1\r\n\r\nx";
-    std::atomic<int> attempts{0};
-    int failedOn = 0;
-    RawServer *self = nullptr;
-    RawServer server([&](int, const std::string &request) {
-        const auto id = idOf(request);
-        if (id == "first") {
-            return success(id);
-        }
-        const auto copy = fmt::format(failure, id);
-        if (++attempts == 1) {
-            failedOn = self->connections();
-            return copy;
-        }
-        return failedOn == self->connections() ? copy + success(id) : success(id);
-    });
-    self = &server;
-    repeatability = Repeatability::Idempotent;
-    maxAttempts = 2;
-    start({server.address()});
-    fillRetryBudget();
-    EXPECT_EQ(statusOf("r-1"), 200);
-    EXPECT_EQ(attempts, 2);
+    expectSuccessAfterACopyOf("429 Too Many Requests");
 }
 
 // Guards against forgetting a refusal when many have followed on the connection: it is closed instead.
