Know the route type of downloads, and keep serving a configuration with unknown route types

Cause: readConfiguration() refused a whole version for one unknown route type, so a deployment with the type 'download' answered every request with 503.

--- a/include/galenarock/gateway.h
+++ b/include/galenarock/gateway.h
@@ -52,6 +52,9 @@
     RouteConfiguration configuration;
     /// Errors in the object; `configuration` is valid only if there are none.
     Findings findings;
+    /// Values that this build does not know, for example of a later contract. The routes that they belong to are served
+    /// with the most careful meaning.
+    Findings unknownValues;
 };
 
 /// HTTP request that sends a lease command to a server.
--- a/include/galenarock/routetable.h
+++ b/include/galenarock/routetable.h
@@ -20,8 +20,15 @@
     AtMostOnce,
     /// Executed at most once; the request body is large.
     AtMostOnceLarge,
+    /// May be executed any number of times; the response body is large.
+    IdempotentLarge,
 };
 
+inline bool isIdempotent(Repeatability repeatability)
+{
+    return repeatability == Repeatability::Idempotent || repeatability == Repeatability::IdempotentLarge;
+}
+
 /// A destination of a route; it receives a part of the route's requests in proportion to its weight.
 struct WeightedService
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,8 @@
     void sendLimitMessage(const SendPeerAction &message);
     void addGauges();
 
+    /// Values of the active configuration that this build does not know.
+    std::atomic<std::size_t> m_unknownValues{0};
     /// The open peer transport, for threads other than the control thread; null before.
     std::atomic<PeerTransport *> m_openPeers{nullptr};
     std::mutex m_membersMutex;
@@ -151,6 +153,9 @@
     hooks.snapshotChanged = [this](const std::shared_ptr<const RoutingSnapshot> &it) {
         shared.setSnapshot(it);
     };
+    hooks.unknownValuesChanged = [this](std::size_t n) {
+        m_unknownValues.store(n);
+    };
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
         shared.suspects().bootSeen(MonotonicClock::now(), server, boot);
     };
@@ -407,6 +412,8 @@
     metrics.gauge("galenarock_requests_in_flight", "",
                   [this] { return static_cast<double>(shared.inFlight().load()); });
     metrics.gauge("galenarock_live_daemons", "", [this] { return static_cast<double>(shared.liveDaemons()); });
+    metrics.gauge("galenarock_configuration_unknown_values", "",
+                  [this] { return static_cast<double>(m_unknownValues.load()); });
     metrics.gauge("galenarock_crash_suspects", "", [this] { return static_cast<double>(shared.suspects().size()); });
     metrics.gauge("galenarock_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
     metrics.gauge("galenarock_proxy_cpu_seconds", "", [this] { return proxy.cpuSeconds(); });
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -237,6 +237,10 @@
     if (active && version <= active->configuration().version) {
         return; // a version that is not newer never replaces the active one
     }
+    if (!parsed.unknownValues.empty()) {
+        logEvent(Events::UnknownValues, "version {}: {}", version, toString(parsed.unknownValues));
+    }
+    m_hooks.unknownValuesChanged(parsed.unknownValues.size());
     const auto routes = std::make_shared<const RouteTable>(std::move(parsed.configuration));
     m_serviceRoutes.setConfiguration(routes);
     m_isSnapshotOutdated = true;
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -32,6 +32,8 @@
     /// The members whose build takes relayed requests.
     std::function<void(const std::vector<Member> &)> relaysChanged;
     std::function<void(const std::shared_ptr<const RoutingSnapshot> &)> snapshotChanged;
+    /// Number of values of the active configuration that this build does not know.
+    std::function<void(std::size_t)> unknownValuesChanged;
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     /// A process that had announced its end is gone.
     std::function<void(const Identity &server)> stoppedAsPlanned;
--- a/src/gateway/tests/planetest.cpp
+++ b/src/gateway/tests/planetest.cpp
@@ -154,6 +154,8 @@
         };
         hooks.snapshotChanged = [](const std::shared_ptr<const RoutingSnapshot> &) {
         };
+        hooks.unknownValuesChanged = [](std::size_t) {
+        };
         hooks.bootSeen = [](const std::string &, std::uint64_t) {
         };
         hooks.stoppedAsPlanned = [](const Identity &) {
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -101,7 +101,7 @@
         return false;
     }
     const auto *rule = snapshot->routes()->find(exchange.header("Host"), exchange.target());
-    return rule && rule->repeatability == Repeatability::Idempotent;
+    return rule && isIdempotent(rule->repeatability);
 }
 
 bool RequestHandler::mayOutlastVm(const PendingRequest &request) const
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -104,7 +104,7 @@
     if (fields.isAmbiguous()) {
         return {Reason::MalformedRequest, Outcome::NotRun, "a header field of the request has two values", 0};
     }
-    request.idempotent = request.rule->repeatability == Repeatability::Idempotent;
+    request.idempotent = isIdempotent(request.rule->repeatability);
     if (exchange.isReadAhead() && !request.idempotent) {
         // The route has changed since the request was read. Behind a response that closes the connection its caller
         // would send it again.
