--- a/src/base/responseheadreader.cpp
+++ b/src/base/responseheadreader.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
 constexpr unsigned LastStatus = 599;
 /// `HTTP/1.1 200`
 constexpr std::size_t StatusLineBytes = 12;
@@ -169,6 +170,11 @@
     return {};
 }
 
+bool ResponseHeadReader::hasFraming() const
+{
+    return m_lengths > 0 || m_codings > 0 || m_status == NoContent || m_status == NotModified;
+}
+
 HeadProgress ResponseHeadReader::endHead()
 {
     if (!m_isInHead) {
--- a/src/base/responseheadreader_p.h
+++ b/src/base/responseheadreader_p.h
@@ -61,6 +61,8 @@
     {
         return std::move(m_fields);
     }
+    /// Whether the final head says where the body ends, so that not only the end of the connection ends it.
+    bool hasFraming() const;
     /// What is wrong with a malformed head, for the log; empty otherwise.
     std::string_view defect() const
     {
--- a/src/proxy/tests/cutheadtest.cpp
+++ b/src/proxy/tests/cutheadtest.cpp
@@ -140,6 +140,11 @@
         "HTTP/3.7 200 OK\r\n\r\nok",
         "HTTP/0.9 200 OK\r\n\r\nok",
         "HTTP/1.1 099 OK\r\n\r\nok",
+        "HTTP/1.1 600 OK\r\n\r\nok",
+        "HTTP/1.1 999 OK\r\n\r\nok",
+        "HTTP/1.1 -20 OK\r\n\r\nok",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 199 Early\r\nContent-Length: 2\r\n\r\nok",
     };
     SharedText answer;
     RawServer server([&](int, const std::string &) { return answer.get(); }, RawServer::AfterAnswer::Close);
--- a/src/proxy/tests/rawserver.h
+++ b/src/proxy/tests/rawserver.h
@@ -71,6 +71,17 @@
         m_onAnswered = std::move(hook);
     }
 
+    /// Answers a request in chunks once its last chunk has arrived. Set before the first request.
+    void setReadsChunks()
+    {
+        m_readsChunks = true;
+    }
+    /// Answers once the head of a request has arrived, whatever is left of its body. Set before the first request.
+    void setAnswersEarly()
+    {
+        m_answersEarly = true;
+    }
+
 private:
     bool isReadable(int fd) const
     {
@@ -122,12 +133,19 @@
         }
     }
 
-    static bool isComplete(const std::string &text)
+    bool isComplete(const std::string &text) const
     {
         const auto head = text.find("\r\n\r\n");
         if (head == std::string::npos) {
             return false;
         }
+        if (m_answersEarly) {
+            return true;
+        }
+        const std::string lastChunk = "\r\n0\r\n\r\n";
+        if (m_readsChunks && text.find("Transfer-Encoding: chunked") < head) {
+            return text.size() >= lastChunk.size() && text.substr(text.size() - lastChunk.size()) == lastChunk;
+        }
         const auto field = text.find("Content-Length: ");
         const auto length = field < head ? std::strtoul(text.c_str() + field + 16, nullptr, 10) : 0;
         return text.size() >= head + 4 + length;
@@ -136,6 +154,8 @@
     Script m_script;
     AfterAnswer m_afterAnswer;
     std::function<void(int fd)> m_onAnswered;
+    bool m_answersEarly = false;
+    bool m_readsChunks = false;
     int m_listenFd;
     int m_port = 0;
     std::atomic<bool> m_stop{false};
--- a/src/proxy/tests/upstreamfixture.h
+++ b/src/proxy/tests/upstreamfixture.h
@@ -35,13 +35,18 @@
         request.headerLines = {"Expect:"};
         request.body = body.data();
         request.bodySize = static_cast<std::int64_t>(body.size());
+        return run(std::move(request), AttemptHooks());
+    }
+
+    /// The same for a request of the test's own; of the hooks, only readBody is used.
+    AttemptResult run(AttemptRequest request, AttemptHooks hooks)
+    {
         request.timeoutMs = 5'000;
         AttemptResult result;
         bool done = false;
         heads = 0;
         received.clear();
         isDataBeforeHead = false;
-        AttemptHooks hooks;
         hooks.onHead = [&](unsigned, std::vector<HeaderField> fields) {
             ++heads;
             headers = std::move(fields);
@@ -56,8 +61,12 @@
             result = it;
             done = true;
         };
-        client.start(std::move(request), std::move(hooks));
+        auto *attempt = client.start(std::move(request), std::move(hooks));
         for (int turn = 0; turn < MaxTurns && !done; ++turn) {
+            if (isUploadPaused && !received.empty()) {
+                isUploadPaused = false;
+                client.resume(attempt);
+            }
             epoll_event event{};
             const int n =
                 epoll_wait(epollFd, &event, 1, std::min(10, std::max(0, client.timeoutMs(MonotonicClock::now()))));
@@ -70,7 +79,7 @@
         return result;
     }
 
-    static constexpr int MaxTurns = 2'000;
+    static constexpr int MaxTurns = 200'000;
 
     int epollFd = epoll_create1(0);
     UpstreamClient client{epollFd, 0};
@@ -79,6 +88,8 @@
     std::vector<HeaderField> headers;
     int heads = 0;
     bool isDataBeforeHead = false;
+    /// Set by readBody when it pauses; the upload goes on once a part of the answer's body has arrived.
+    bool isUploadPaused = false;
 };
 
 }
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -39,6 +39,10 @@
     Instant sentAt{};
     /// `timeout` of the response's Keep-Alive header; 0 when there is none.
     long advertisedIdleSeconds = 0;
+    /// Bytes that readBody has passed to libcurl, with the framing of their chunks if they are sent in chunks.
+    std::int64_t uploadBytes = 0;
+    /// readBody has passed the whole body.
+    bool isUploadRead = false;
 };
 
 namespace
@@ -122,11 +126,40 @@
     return size * n + 1; // any other number makes libcurl end the transfer; 0 would not if it passed no bytes
 }
 
+void countUpload(Attempt &attempt, std::size_t taken)
+{
+    constexpr std::string_view lineEnds = "\r\n\r\n";
+    const auto bodySize = attempt.request.bodySize;
+    attempt.uploadBytes += static_cast<std::int64_t>(taken);
+    if (bodySize < 0) {
+        attempt.uploadBytes += static_cast<std::int64_t>(fmt::formatted_size("{:x}", taken) + lineEnds.size());
+    }
+    attempt.isUploadRead = bodySize < 0 ? taken == 0 : attempt.uploadBytes >= bodySize;
+}
+
 std::size_t readCallback(char *out, std::size_t size, std::size_t n, void *userData)
 {
     auto *attempt = static_cast<Attempt *>(userData);
     constexpr std::size_t failure = CURL_READFUNC_ABORT;
-    return withoutExceptions(failure, [&] { return attempt->hooks.readBody(out, size * n); });
+    const auto taken = withoutExceptions(failure, [&] { return attempt->hooks.readBody(out, size * n); });
+    if (taken <= size * n) {
+        countUpload(*attempt, taken);
+    }
+    return taken;
+}
+
+/// Whether the whole request has been written to the connection.
+bool isUploadSent(const Attempt &attempt)
+{
+    if (attempt.request.method == "HEAD") {
+        return true;
+    }
+    curl_off_t written = 0;
+    curl_easy_getinfo(attempt.handle, CURLINFO_SIZE_UPLOAD_T, &written);
+    if (!attempt.hooks.readBody) {
+        return written >= attempt.request.bodySize;
+    }
+    return attempt.isUploadRead && written >= attempt.uploadBytes;
 }
 
 bool isOnNewConnection(CURL *handle)
@@ -392,7 +425,20 @@
     if (code != CURLE_OK) {
         return curl_easy_strerror(code);
     }
-    return isComplete ? "" : "connection closed within the head of the response";
+    if (isComplete) {
+        return "";
+    }
+    return attempt.headDelivered ? "connection closed within the request, in a response without a length"
+                                 : "connection closed within the head of the response";
+}
+
+/// Whether the end of the connection is all that ends the response, and came before the whole request was written. Such
+/// a response may be a part: a server that closes with unread bytes resets the connection, and libcurl takes that for
+/// the end of the response if it reads the end before it writes.
+bool isEndUncertain(const Attempt &attempt)
+{
+    const bool hasBody = attempt.request.method != "HEAD" && !attempt.head.hasFraming();
+    return hasBody && !isUploadSent(attempt);
 }
 
 /// `http://ip:port` of a URL.
@@ -444,7 +490,7 @@
         }
         AttemptResult result;
         result.sent = attempt->sends > 0;
-        result.complete = code == CURLE_OK && attempt->headDelivered;
+        result.complete = code == CURLE_OK && attempt->headDelivered && !isEndUncertain(*attempt);
         result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
         result.resendStopped = attempt->resendStopped;
         result.isNewConnection = isOnNewConnection(attempt->handle);
