Read how long work takes on a server's machine now, and choose servers by it

Cause: the fourth figure of the load header was ignored, so a request went to a server whose machine is three times as slow for 400 ms, and that slowness entered the service time by which keys are placed. Servers that report three figures are treated as before.

--- a/include/galenarock/serverchoice.h
+++ b/include/galenarock/serverchoice.h
@@ -37,10 +37,13 @@
     std::uint32_t inFlight = 0;
     std::uint32_t slots = 1;
     std::uint32_t queued = 0;
+    /// How long work takes on the server's machine at this moment, in percent of the usual time. Machines that servers
+    /// share with others change it many times per second.
+    std::uint32_t workPercent = 100;
 
     friend bool operator==(const ReportedLoad &a, const ReportedLoad &b)
     {
-        return a.inFlight == b.inFlight && a.slots == b.slots && a.queued == b.queued;
+        return a.inFlight == b.inFlight && a.slots == b.slots && a.queued == b.queued && a.workPercent == b.workPercent;
     }
 };
 
@@ -85,6 +88,8 @@
     Duration slowStart = seconds(5);
     /// Age at which a load report has lost its influence, which falls linearly from the start.
     Duration reportLifetime = seconds(1);
+    /// Age at which a reported ReportedLoad::workPercent has lost its influence, which falls linearly from the start.
+    Duration workPercentLifetime = milliseconds(400);
     /// Half-life of the penalty for failures and refusals.
     Duration penaltyHalfLife = milliseconds(500);
     /// When more than this share of the servers is ejected, ejections are ignored: the cause is then more likely this
@@ -120,8 +125,10 @@
     double outstanding = 0;
     /// Number of requests that the server runs concurrently.
     double slots = 1;
-    /// Service time without queueing; 0 when unknown.
+    /// Service time without queueing, at the usual speed of the server's machine; 0 when unknown.
     double serviceSeconds = 0;
+    /// Expected service time now as a multiple of `serviceSeconds`, from the last report; 1 without a recent one.
+    double workFactor = 1;
     /// The server is in this daemon's failure domain.
     bool isLocal = true;
 };
--- a/src/routing/observations.cpp
+++ b/src/routing/observations.cpp
@@ -24,6 +24,15 @@
 /// Share of the difference by which the no-load latency rises per sample, so that it follows only lasting increases.
 constexpr double NoLoadLatencyRise = 0.002;
 
+/// Bounds of a reported work percentage, as a factor: a server that reports 0 would look infinitely fast.
+constexpr double MinWorkFactor = 0.1;
+constexpr double MaxWorkFactor = 100;
+
+double workFactorOf(const ReportedLoad &load)
+{
+    return std::clamp(load.workPercent / 100.0, MinWorkFactor, MaxWorkFactor);
+}
+
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -154,6 +163,8 @@
         view.reportWeight = std::clamp(1 - age, 0.0, 1.0);
         const double outstanding = static_cast<double>(entry.report->inFlight) + entry.report->queued;
         view.reportedLoad = view.reportWeight > 0 ? outstanding / entry.report->slots : -1;
+        const double workAge = toSeconds(now - entry.reportedAt) / toSeconds(m_settings.workPercentLifetime);
+        view.workFactor = 1 + std::clamp(1 - workAge, 0.0, 1.0) * (workFactorOf(*entry.report) - 1);
     }
     const double age = toSeconds(now - entry.slowStartAt) / toSeconds(m_settings.slowStart);
     view.weight = std::clamp(age, InitialSlowStartWeight, 1.0);
@@ -183,7 +194,9 @@
 void ServerObservations::updateServiceTime(Entry &entry, double latencySeconds, double outstandingAtStart)
 {
     const double slots = entry.report ? entry.report->slots : std::max<double>(1, entry.slots);
-    const double sample = latencySeconds / std::max(1.0, (outstandingAtStart + 1) / slots);
+    const double rounds = std::max(1.0, (outstandingAtStart + 1) / slots);
+    const double workFactor = entry.report ? workFactorOf(*entry.report) : 1;
+    const double sample = latencySeconds / rounds / workFactor;
     const double previous = entry.serviceSeconds;
     entry.serviceSeconds = previous == 0 ? sample : previous + SampleWeight * (sample - previous);
 }
--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -163,7 +163,7 @@
 {
     const double service = view.serviceSeconds == 0 ? UnknownServiceSeconds : view.serviceSeconds;
     const double rounds = std::max(1.0, (view.outstanding + 1) / view.slots);
-    return service * (rounds + view.penalty) / view.weight;
+    return service * view.workFactor * (rounds + view.penalty) / view.weight;
 }
 
 ServerIndex chooseShortestExpectedDelay(const ChoiceInput &input)
--- a/src/routing/tests/serverchoicetest.cpp
+++ b/src/routing/tests/serverchoicetest.cpp
@@ -175,3 +175,21 @@
     }
     EXPECT_LT(observations.views(at(200))[0].adaptiveLimit, grown / 2);
 }
+
+// Load: servers share machines that make work take three times as long for 400 ms at a time. Guards against choosing a
+// server that is slow at this moment, against avoiding it after the report has aged, and against taking the passing
+// slowness for the speed of the server, which would move its keys.
+TEST(ServerChoice, slownessOfAMomentCountsOnlyWhileItIsRecent)
+{
+    ServerObservations observations;
+    observations.setServers(at(-10'000), servers(2), {2, 10});
+    recordAttempt(observations, 0, 0, AttemptEnd::Answered, 300, ReportedLoad{0, 2, 0, 300});
+    recordAttempt(observations, 0, 1, AttemptEnd::Answered, 120, ReportedLoad{0, 2, 0, 100});
+    const auto views = observations.views(at(10));
+    EXPECT_NEAR(views[0].serviceSeconds, 0.1, 0.001);
+    EXPECT_NEAR(views[0].workFactor, 2.95, 0.001);
+    EXPECT_EQ(views[1].workFactor, 1);
+    EXPECT_EQ(chooseShortestExpectedDelay({observations.views(at(10)), 7}), 1);
+    EXPECT_EQ(observations.views(at(400))[0].workFactor, 1);
+    EXPECT_EQ(chooseShortestExpectedDelay({observations.views(at(400)), 7}), 0);
+}
