--- a/include/galenarock.h
+++ b/include/galenarock.h
@@ -34,3 +34,4 @@
 #include <galenarock/storeclient.h>
 #include <galenarock/suspects.h>
 #include <galenarock/thread.h>
+#include <galenarock/warmuppace.h>
--- a/include/galenarock/gateway.h
+++ b/include/galenarock/gateway.h
@@ -32,6 +32,8 @@
     bool isDraining = false;
     /// Increases each time that the process writes its entry; not part of the comparison.
     std::uint64_t sequence = 0;
+    /// How much longer the server stays cold; changes with each entry and is not part of the comparison.
+    Duration warmupLeft{};
 
     friend bool operator==(const ServerEntry &a, const ServerEntry &b)
     {
--- a/include/galenarock/routetable.h
+++ b/include/galenarock/routetable.h
@@ -77,11 +77,16 @@
     std::uint32_t maxConnections = 1;
     /// Each key is owned by one server at a time.
     bool isKeyed = false;
+    /// Time for which a server is cold after the start of its process; 0 when the configuration states none.
+    std::int64_t warmupMs = 0;
+    /// Requests per second from all daemons together that a cold server tolerates; 0 when the configuration states
+    /// none.
+    double warmupPerSecond = 0;
 
     friend bool operator==(const ServiceRule &a, const ServiceRule &b)
     {
         return a.name == b.name && a.probeTarget == b.probeTarget && a.maxConnections == b.maxConnections
-            && a.isKeyed == b.isKeyed;
+            && a.isKeyed == b.isKeyed && a.warmupMs == b.warmupMs && a.warmupPerSecond == b.warmupPerSecond;
     }
 };
 
--- a/include/galenarock/serverlimits.h
+++ b/include/galenarock/serverlimits.h
@@ -12,6 +12,7 @@
 #include <galenarock/base.h>
 #include <galenarock/control.h>
 #include <galenarock/error.h>
+#include <galenarock/warmuppace.h>
 
 /// Request rates that overloaded servers ask for, and how the daemons keep to them together.
 ///
@@ -48,21 +49,42 @@
     }
 };
 
+/// A server that is cold: caches and connections of its process are not filled yet, and it tolerates few requests. The
+/// daemons derive this from the server's entry, each for itself.
+struct ColdServer
+{
+    Identity server;
+    /// Requests per second from all daemons together.
+    double perSecond = 0;
+    /// No request is sent before this time, so that those under way when the server became cold have arrived.
+    Instant openAt{};
+    Instant until{};
+
+    friend bool operator==(const ColdServer &a, const ColdServer &b)
+    {
+        return a.server == b.server && a.perSecond == b.perSecond && a.openAt == b.openAt && a.until == b.until;
+    }
+};
+
 /// Question for a permit to send one request to a server.
 struct PermitRequest
 {
     /// Number that the reply repeats.
     std::uint64_t number = 0;
-    /// The rate as the asking daemon knows it.
+    /// The rate as the asking daemon knows it; with version 0 the rate of a cold server, which other daemons do not
+    /// take over as one that the server states.
     ServerLimit limit;
     /// 0 is the highest priority.
     std::uint32_t priority = 0;
     /// Longest time that the request can wait.
     Duration maxDelay{};
+    /// Answers of a cold server that the asking daemon has seen since its last question.
+    PaceSigns signs;
 
     friend bool operator==(const PermitRequest &a, const PermitRequest &b)
     {
-        return a.number == b.number && a.limit == b.limit && a.priority == b.priority && a.maxDelay == b.maxDelay;
+        return a.number == b.number && a.limit == b.limit && a.priority == b.priority && a.maxDelay == b.maxDelay
+            && a.signs == b.signs;
     }
 };
 
@@ -142,7 +164,9 @@
 class PermitIssuer
 {
 public:
-    Permit issue(Instant now, const Identity &server, double perSecond, std::uint32_t priority, Duration maxDelay);
+    /// Up to `burstSeconds` of the rate are kept for a burst, and at least one token for each share of the rate.
+    Permit issue(Instant now, const Identity &server, double perSecond, std::uint32_t priority, Duration maxDelay,
+                 double burstSeconds = 0.5);
     /// Forgets servers without requests for ten seconds.
     void expire(Instant now);
 
@@ -159,7 +183,7 @@
     };
     static bool hasCompetition(Instant now, const Bucket &bucket);
     static void noteDemand(Instant now, Bucket &bucket, std::uint32_t priority);
-    static void refill(Instant now, Bucket &bucket, double perSecond);
+    static void refill(Instant now, Bucket &bucket, double perSecond, double burstSeconds);
 
     std::map<Identity, Bucket> m_buckets;
 };
@@ -220,6 +244,10 @@
     /// What a response of the server states. A server that takes no requests still gets one each ten seconds, since
     /// only a response can show that it takes more again.
     void observe(Instant now, const Identity &server, std::optional<double> perSecond);
+    /// Replaces the list of the servers that are cold.
+    void setColdServers(const std::vector<ColdServer> &servers);
+    /// How a cold server answered requests of this daemon. The issuer of its permits is told with the next question.
+    void observeAnswer(Instant now, const Identity &server, const PaceSigns &signs);
     /// Asks whether one request may be sent to the server.
     PermitDecision ask(Instant now, const Identity &server, std::uint32_t priority, Duration maxDelay,
                        LimitActions &actions);
@@ -230,15 +258,23 @@
 
     bool isLimited(const Identity &server) const
     {
-        return m_table.find(server).perSecond > 0;
+        return m_table.find(server).perSecond > 0 || m_cold.count(server) > 0;
     }
     /// Time until which requests of this priority are refused without asking; in the past if they are not.
     Instant refusedUntil(const Identity &server, std::uint32_t priority) const;
-    /// Rates of all servers that state one, in requests per second.
+    bool isCold(const Identity &server) const
+    {
+        return m_cold.count(server) > 0;
+    }
+    /// Rates of all servers that state one or are cold, in requests per second.
     std::map<Identity, double> rates() const;
     std::size_t limitedServers() const
     {
-        return m_table.limitedServers();
+        return m_table.limitedServers() + m_cold.size();
+    }
+    std::size_t coldServers() const
+    {
+        return m_cold.size();
     }
     /// Daemons that may send requests, this one included.
     std::size_t fleetSize(Instant now) const;
@@ -257,9 +293,21 @@
         double tokens = 0;
         Instant refilledAt{};
     };
+    /// Rate at which requests may go to a server.
+    struct Pace
+    {
+        double perSecond = 0;
+        bool isCold = false;
+        /// As in ColdServer.
+        Instant openAt{};
+    };
+    Pace paceOf(const ServerLimit &limit) const;
+    std::size_t coldFleetSize(Instant now) const;
     const std::string &issuerOf(const Identity &server);
-    double issuedRate(Instant now, double perSecond) const;
-    Permit issueFromOwnPart(Instant now, const Identity &server);
+    double issuedRate(Instant now, const Pace &pace) const;
+    Permit issueAsIssuer(Instant now, const Identity &server, const Pace &pace, std::uint32_t priority,
+                         Duration maxDelay);
+    Permit issueFromOwnPart(Instant now, const Identity &server, const Pace &pace);
     Permit remember(Instant now, const Identity &server, std::uint32_t priority, Permit permit);
     void endQuestions(Instant now, LimitActions &actions);
     void sendRecentChanges(Instant now, LimitActions &actions);
@@ -283,6 +331,10 @@
     std::map<std::uint64_t, Question> m_questions;
     std::uint64_t m_nextNumber = 1;
     std::map<std::string, Instant> m_silentUntil;
+    std::map<Identity, ColdServer> m_cold;
+    WarmupPace m_pace;
+    /// Answers of cold servers that their issuers have not been told of yet.
+    std::map<Identity, PaceSigns> m_signs;
     std::map<Identity, OwnPart> m_ownParts;
     std::map<std::pair<Identity, std::uint32_t>, Instant> m_refusedUntil;
     std::vector<ServerLimit> m_changes;
--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -87,6 +87,10 @@
     std::int64_t maxGrantDurationMs = 10'000;
     /// Gateway: processor time that this VM may use, in cores. Large VMs lead services first.
     double cpuShare = 1;
+    /// Gateway: bound on the requests that reach a cold server in one second, over all daemons: this multiple of the
+    /// service's ServiceRule::warmupPerSecond, and this many more. A multiple of 0 sets no bound.
+    double warmupOvershoot = 0;
+    double warmupSlack = 0;
     /// File for the event trace; empty for none.
     std::string trace;
 
@@ -97,7 +101,8 @@
             && a.workers == b.workers && a.logLevel == b.logLevel && a.stopNoticeMs == b.stopNoticeMs
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
-            && a.cpuShare == b.cpuShare && a.trace == b.trace;
+            && a.cpuShare == b.cpuShare && a.warmupOvershoot == b.warmupOvershoot && a.warmupSlack == b.warmupSlack
+            && a.trace == b.trace;
     }
 };
 
--- a/include/galenarock/sharedserverlimits.h
+++ b/include/galenarock/sharedserverlimits.h
@@ -35,6 +35,10 @@
     void setFleetListed();
     /// What a response of the server states.
     void observe(Instant now, const Identity &server, std::optional<double> perSecond);
+    /// Replaces the list of the servers that are cold.
+    void setColdServers(const std::vector<ColdServer> &servers);
+    /// How a cold server answered one request of this daemon; ignored for others.
+    void observeAnswer(Instant now, const Identity &server, const PaceSigns &signs);
     PermitDecision ask(Instant now, const Identity &server, std::uint32_t priority, Duration maxDelay);
     /// The answer to a pending question, once; empty while there is none.
     std::optional<Permit> takeOutcome(std::uint64_t number);
@@ -45,11 +49,15 @@
     /// Counts a request that is sent, for the log.
     void countSent(const Identity &server, bool isRepeated);
 
-    /// False if no server states a rate; takes no lock.
+    /// False if no server states a rate or is cold; takes no lock.
     bool hasLimits() const
     {
         return m_limitedServers.load(std::memory_order_relaxed) > 0;
     }
+    std::size_t coldServers() const
+    {
+        return m_coldServers.load(std::memory_order_relaxed);
+    }
     bool isLimited(const Identity &server);
     Instant refusedUntil(const Identity &server, std::uint32_t priority);
     std::map<Identity, double> rates();
@@ -70,6 +78,7 @@
     std::function<void()> m_wake = [] {
     };
     std::atomic<std::size_t> m_limitedServers{0};
+    std::atomic<std::size_t> m_coldServers{0};
     std::mutex m_mutex; ///< Guards all members below.
     ServerLimits m_limits;
     std::map<std::uint64_t, Permit> m_outcomes;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -84,6 +84,12 @@
     return {};
 }
 
+/// Platforms without the value leave it empty.
+template<auto Member> std::string applyOptionalAmount(Settings &settings, const std::string &text)
+{
+    return text.empty() ? std::string() : applyAmount<Member>(settings, text);
+}
+
 std::string applyRetryRatio(Settings &settings, const std::string &text)
 {
     const auto message = applyAmount<&Settings::retryPercent>(settings, text);
@@ -165,6 +171,10 @@
      applyNumber<&Settings::maxGrantDurationMs, 100, dayMs>},
     {{"cpu-share", "CORES", "1", false, "gateway: processor time that this VM may use; large VMs lead first"},
      applyAmount<&Settings::cpuShare>},
+    {{"warmup-overshoot", "FACTOR", "0", false, "gateway: bound on requests to a cold server; empty or 0 for none"},
+     applyOptionalAmount<&Settings::warmupOvershoot>},
+    {{"warmup-slack", "N", "0", false, "gateway: requests within a second beyond that bound"},
+     applyOptionalAmount<&Settings::warmupSlack>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
@@ -234,6 +244,7 @@
     /// The library stops at the first syntax error; the faulty argument is taken out and the rest is parsed again.
     void readArguments(std::vector<std::string> arguments)
     {
+        takeEmptyAmounts(arguments);
         const auto description = optionsDescription();
         const int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
         while (true) {
@@ -254,6 +265,19 @@
         }
     }
 
+    /// The library takes `--name=` for a syntax error.
+    void takeEmptyAmounts(std::vector<std::string> &arguments)
+    {
+        for (const std::string name : {"warmup-overshoot", "warmup-slack"}) {
+            const auto flag = "--" + name;
+            const auto it = std::find(arguments.begin(), arguments.end(), flag + "=");
+            if (it != arguments.end()) {
+                m_flags.emplace(name, Given{flag, ""});
+                arguments.erase(it);
+            }
+        }
+    }
+
     static bool removeArgument(std::vector<std::string> &arguments, const std::string &flag)
     {
         const auto isFaulty = [&](const std::string &it) {
--- a/src/base/tests/settingstest.cpp
+++ b/src/base/tests/settingstest.cpp
@@ -118,3 +118,22 @@
         EXPECT_FALSE(parseEndpoint(it)) << it;
     }
 }
+
+// Guards against a daemon that does not start where the platform has no value for these flags and leaves them empty.
+TEST(Settings, emptyAmountsAreOff)
+{
+    auto flags = goodFlags();
+    flags.insert(flags.end(), {"--warmup-overshoot=", "--warmup-slack="});
+    const auto empty = parseSettings(flags, {});
+    EXPECT_EQ(toString(empty.findings), "");
+    EXPECT_EQ(empty.settings.warmupOvershoot, 0);
+    EXPECT_EQ(empty.settings.warmupSlack, 0);
+    auto given = goodFlags();
+    given.insert(given.end(), {"--warmup-overshoot=1.5", "--warmup-slack=8"});
+    const auto parsed = parseSettings(given, {});
+    EXPECT_EQ(toString(parsed.findings), "");
+    EXPECT_EQ(parsed.settings.warmupOvershoot, 1.5);
+    EXPECT_EQ(parsed.settings.warmupSlack, 8);
+    given.back() = "--warmup-slack=much";
+    EXPECT_TRUE(hasFinding(parseSettings(given, {}).findings, ErrorCode::OutOfRange, "--warmup-slack"));
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,6 +171,9 @@
     hooks.requestRates = [this] {
         return shared.serverLimits().rates();
     };
+    hooks.coldServersChanged = [this](const std::vector<ColdServer> &it) {
+        shared.serverLimits().setColdServers(it);
+    };
     hooks.reachesServers = [this] {
         return !shared.serverReach().isCutOff();
     };
@@ -364,6 +367,7 @@
     controlPlaneSettings.retryPercent = settings.retryPercent;
     controlPlaneSettings.maxGrantDuration = milliseconds(settings.maxGrantDurationMs);
     controlPlaneSettings.cpuPercent = static_cast<std::uint16_t>(std::clamp(settings.cpuShare * 100, 1.0, 65'535.0));
+    controlPlaneSettings.warmupBound = {settings.warmupOvershoot, settings.warmupSlack};
     openStore();
     controlPlane = std::make_unique<GatewayControlPlane>(controlPlaneSettings, dialect, makeHooks());
     BOOST_LEAF_CHECK(readiness.listen(settings.readiness.address, settings.readiness.port));
@@ -414,6 +418,8 @@
     metrics.gauge("galenarock_live_daemons", "", [this] { return static_cast<double>(shared.liveDaemons()); });
     metrics.gauge("galenarock_configuration_unknown_values", "",
                   [this] { return static_cast<double>(m_unknownValues.load()); });
+    metrics.gauge("galenarock_cold_servers", "",
+                  [this] { return static_cast<double>(shared.serverLimits().coldServers()); });
     metrics.gauge("galenarock_crash_suspects", "", [this] { return static_cast<double>(shared.suspects().size()); });
     metrics.gauge("galenarock_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
     metrics.gauge("galenarock_proxy_cpu_seconds", "", [this] { return proxy.cpuSeconds(); });
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -26,6 +26,9 @@
 constexpr double LeaseCallsPerCore = 2'000;
 /// Grants last at most this share of the servers' limit. The margin is larger than the error of a slow clock.
 constexpr double MaxGrantShare = 0.9;
+/// Time for which no request goes to a server that became cold again, so that those which other daemons sent before
+/// they heard of it are not added to the ones with permits within one second.
+constexpr Duration ColdAgainPause = seconds(1);
 
 MembershipSettings membershipSettings(const GatewayControlPlaneSettings &settings, const std::string &peerAddress)
 {
@@ -98,6 +101,7 @@
         m_feed.synced(synced->kind, synced->revision);
         if (synced->kind == m_dialect.serverKind && !m_areServersKnown) {
             m_areServersKnown = true;
+            m_servers.setListed(now);
             serversChanged();
         }
         return;
@@ -519,10 +523,63 @@
     if (std::exchange(m_areFeaturesOutdated, false)) {
         publishFeatures(now);
     }
+    updateColdServers(now); // before the snapshot, so that no request is sent without a permit
     updateLeaseServers(now);
     updateFeed(now);
 }
 
+std::vector<ColdServer> GatewayControlPlane::coldServers(Instant now)
+{
+    const auto &services = m_serviceRoutes.configuration()->configuration().services;
+    std::vector<ColdServer> list;
+    for (const auto &it : m_servers.warmups(now)) {
+        const auto rule = std::find_if(services.begin(), services.end(),
+                                       [&](const ServiceRule &rule) { return rule.name == it.service; });
+        const double rate = rule == services.end() ? 0 : coldRate(rule->warmupPerSecond, m_settings.warmupBound);
+        if (rate <= 0) {
+            continue;
+        }
+        const bool isJoined = it.joinedAt && !it.isStated;
+        const auto until = isJoined ? *it.joinedAt + milliseconds(rule->warmupMs) : it.until;
+        const auto openAt = it.hadTraffic ? it.since + ColdAgainPause : Instant();
+        if (until > now) {
+            list.push_back({it.server, rate, openAt, until});
+        }
+    }
+    return list;
+}
+
+/// Passes on which servers are cold. Their ends are found without a call.
+void GatewayControlPlane::updateColdServers(Instant now)
+{
+    const auto &routes = m_serviceRoutes.configuration();
+    if (!routes || m_settings.warmupBound.overshoot <= 0) {
+        return;
+    }
+    const auto version = routes->configuration().version;
+    const bool isSame = m_warmupRevision == m_servers.warmupRevision() && m_warmupConfiguration == version;
+    if (isSame) {
+        return;
+    }
+    m_warmupRevision = m_servers.warmupRevision();
+    m_warmupConfiguration = version;
+    auto list = coldServers(now);
+    if (list == m_coldServers) {
+        return;
+    }
+    for (const auto &it : list) {
+        const auto isKnown = [&](const ColdServer &known) {
+            return known.server == it.server && known.until > now;
+        };
+        if (std::none_of(m_coldServers.begin(), m_coldServers.end(), isKnown)) {
+            logEvent(Events::ServerCold, "{} is cold for {} ms: {:.2f} requests/s from all daemons",
+                     toString(it.server), duration_cast<milliseconds>(it.until - now).count(), it.perSecond);
+        }
+    }
+    m_coldServers = std::move(list);
+    m_hooks.coldServersChanged(m_coldServers);
+}
+
 /// Changes of the store that another daemon passes on, and what it knows.
 void GatewayControlPlane::receiveFeed(Instant now, const PeerEvent &event)
 {
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -10,6 +10,7 @@
 #include <galenarock/membership.h>
 #include <galenarock/peerfeatures.h>
 #include <galenarock/routing.h>
+#include <galenarock/serverlimits.h>
 #include <galenarock/watchfeed.h>
 
 #include "daemon/decisionlog_p.h"
@@ -41,6 +42,8 @@
     std::function<void(const PeerEvent &)> requestMessage;
     /// Requests per second that servers state as their limit.
     std::function<std::map<Identity, double>()> requestRates;
+    /// Servers that are cold, with the rates at which permits are given for them.
+    std::function<void(const std::vector<ColdServer> &)> coldServersChanged;
     /// Whether any server answers this VM.
     std::function<bool()> reachesServers;
     /// The list of all daemons has been read from the store.
@@ -78,6 +81,7 @@
     /// Longest grant duration that servers accept; 0 for no limit.
     Duration maxGrantDuration{};
     std::uint16_t cpuPercent = 100;
+    WarmupBound warmupBound;
 };
 
 /// Control plane of one gateway daemon: passes events to membership and leases, and publishes routing snapshots. Used
@@ -129,6 +133,8 @@
     void updateLeaseServers(Instant now);
     void applyChanges(Instant now);
     void sendLoadReports(Instant now);
+    std::vector<ColdServer> coldServers(Instant now);
+    void updateColdServers(Instant now);
     void publishFeatures(Instant now);
     void receiveFeed(Instant now, const PeerEvent &event);
     void receiveLeavingNotice(Instant now, const PeerEvent &event);
@@ -158,6 +164,10 @@
     std::map<std::string, LeaseController> m_leases;
     /// ServerDirectory::revision() of the servers that each lease controller knows.
     std::map<std::string, std::uint64_t> m_leaseServerRevisions;
+    /// ServerDirectory::warmupRevision() and configuration of the last list of cold servers, and that list.
+    std::uint64_t m_warmupRevision = 0;
+    std::uint64_t m_warmupConfiguration = 0;
+    std::vector<ColdServer> m_coldServers;
     DecisionLog m_decisions;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     /// builds() as of the last change of a member or its build; null when outdated.
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -15,6 +15,12 @@
 constexpr Duration RemovedRetention = seconds(120);
 /// A service has few missing servers if at most one in this many is missing.
 constexpr std::size_t FewMissingDivisor = 3;
+/// A process that has joined is remembered for this time; longer than any service states for its servers.
+constexpr Duration JoinRetention = seconds(600);
+/// Within this time after the servers were listed, the ones that register may be those of a whole deployment.
+constexpr Duration DeploymentStartTime = seconds(10);
+/// Smaller changes of the time at which a server is warm come from the delay of its entries.
+constexpr Duration NotableWarmupChange = milliseconds(250);
 }
 
 void ServerDirectory::storeRestored(Instant now)
@@ -55,6 +61,8 @@
 bool ServerDirectory::put(Instant now, const ServerEntry &stored)
 {
     const bool hadSaid = hadSaidLeaving(stored.identity);
+    const auto removed = m_removed.find(stored.identity.name);
+    const bool isKnownProcess = removed != m_removed.end() && removed->second.identity == stored.identity;
     if (hadLeftBeforeRestore(stored)) {
         return false;
     }
@@ -74,6 +82,11 @@
     setFound(server, name);
     // An older copy of the entry must not take back that the server is draining.
     const bool isOlder = server.entry.identity == entry.identity && entry.sequence < server.entry.sequence;
+    if (!isOlder) {
+        const bool isNewProcess = server.entry.identity != entry.identity;
+        const bool isStarting = !m_listedAt || now - *m_listedAt < DeploymentStartTime;
+        noteWarmup(now, entry, isNewProcess, isNewProcess && !isKnownProcess && !isStarting);
+    }
     if (isOlder || server.entry == entry) {
         server.entry.sequence = std::max(server.entry.sequence, entry.sequence);
         return false;
@@ -90,6 +103,60 @@
     return true;
 }
 
+/// Called for each entry, also for one that is equal to the last one, so that a countdown rebuilds no table.
+void ServerDirectory::noteWarmup(Instant now, const ServerEntry &entry, bool isNewProcess, bool hasJoined)
+{
+    const auto &name = entry.identity.name;
+    const auto until = now + entry.warmupLeft;
+    auto found = m_warmups.find(name);
+    const bool isCold = entry.warmupLeft > Duration::zero();
+    if (isNewProcess && found != m_warmups.end()) {
+        m_warmups.erase(found);
+        found = m_warmups.end();
+        ++m_warmupRevision;
+    }
+    if (found == m_warmups.end()) {
+        if (!isCold && !hasJoined) {
+            return;
+        }
+        found = m_warmups.emplace(name, Warmup{entry.identity, entry.service, {}, false, {}, {}, false}).first;
+        found->second.joinedAt = hasJoined ? std::optional(now) : std::nullopt;
+        ++m_warmupRevision;
+    }
+    auto &warmup = found->second;
+    if (!isCold) {
+        m_warmupRevision += warmup.until > now ? 1 : 0;
+        warmup.until = std::min(warmup.until, now);
+        return;
+    }
+    if (warmup.until <= now) {
+        warmup.since = now;
+        warmup.hadTraffic = !isNewProcess;
+    }
+    warmup.isStated = true;
+    const bool isNotable = until > warmup.until + NotableWarmupChange || until < warmup.until - NotableWarmupChange;
+    if (isNotable) {
+        warmup.until = until;
+        ++m_warmupRevision;
+    }
+}
+
+std::vector<ServerDirectory::Warmup> ServerDirectory::warmups(Instant now)
+{
+    std::vector<Warmup> list;
+    for (auto it = m_warmups.begin(); it != m_warmups.end();) {
+        const auto &warmup = it->second;
+        const bool isJoinRecent = warmup.joinedAt && now - *warmup.joinedAt < JoinRetention;
+        if (m_servers.count(it->first) == 0 || (!isJoinRecent && now >= warmup.until)) {
+            it = m_warmups.erase(it);
+            continue;
+        }
+        list.push_back(warmup);
+        ++it;
+    }
+    return list;
+}
+
 void ServerDirectory::noteDraining(Instant now, TrackedServer &server)
 {
     if (server.drainingSince) {
--- a/src/gateway/serverdirectory_p.h
+++ b/src/gateway/serverdirectory_p.h
@@ -45,6 +45,35 @@
     /// Call on each tick. Returns true when servers were removed or the handover time of a draining server ended.
     bool update(Instant now, bool isStoreReachable);
 
+    /// The servers that are registered now are all known. A process that is first seen more than 10 s later has joined;
+    /// before that, the whole deployment may be starting, and only the entries say which servers are cold.
+    void setListed(Instant now)
+    {
+        m_listedAt = now;
+    }
+    /// When a process became cold, and how long it stays cold.
+    struct Warmup
+    {
+        Identity server;
+        std::string service;
+        /// When the process was first seen; empty for one that was there before this daemon listed the servers.
+        std::optional<Instant> joinedAt;
+        /// The entry has stated at some time how long the server stays cold.
+        bool isStated = false;
+        /// When an entry first stated it, and until when the last one does.
+        Instant since{};
+        Instant until{};
+        /// The process had been warm before, so requests to it may be under way.
+        bool hadTraffic = false;
+    };
+    /// Grows when a server joins, or when its entry states another time than a countdown.
+    std::uint64_t warmupRevision() const
+    {
+        return m_warmupRevision;
+    }
+    /// Servers that may be cold. Forgets those that are not.
+    std::vector<Warmup> warmups(Instant now);
+
     /// Grows with each change of the service's servers that the two lists below show.
     std::uint64_t revision(const std::string &service) const;
     std::vector<LeaseServer> leaseServers(const std::string &service) const;
@@ -73,6 +102,7 @@
     void enter(TrackedServer &server, const ServerEntry &entry);
     void noteDraining(Instant now, TrackedServer &server);
     bool hadSaidLeaving(const Identity &process) const;
+    void noteWarmup(Instant now, const ServerEntry &entry, bool isNewProcess, bool hasJoined);
     void drop(Instant now, Servers::iterator server);
     bool endHandovers(Instant now);
     bool removeMissing(Instant now, bool isStoreReachable);
@@ -123,6 +153,10 @@
     Instant m_restoredAt{};
     Instant m_lastOutageAt{};
     bool m_hadOutage = false;
+    std::optional<Instant> m_listedAt;
+    /// By name; only of servers that joined lately or whose entries state a time.
+    std::map<std::string, Warmup> m_warmups;
+    std::uint64_t m_warmupRevision = 0;
     std::uint64_t m_visitedEntries = 0;
 };
 
--- a/src/gateway/tests/planetest.cpp
+++ b/src/gateway/tests/planetest.cpp
@@ -165,6 +165,8 @@
         };
         hooks.requestMessage = [](const PeerEvent &) {
         };
+        hooks.coldServersChanged = [](const std::vector<ColdServer> &) {
+        };
         hooks.requestRates = [] {
             return std::map<Identity, double>();
         };
@@ -374,3 +376,165 @@
     EXPECT_GE(fleet.reads(), 5U);
     EXPECT_LE(fleet.reads(), 20U);
 }
+
+namespace
+{
+constexpr const char *ServerKind = "servers";
+const ObjectKey ConfigurationKey{"config", "main"};
+
+/// One control plane that reads entries of servers of one service, whose cold servers tolerate 3.6 requests per second
+/// for 4 s.
+class ColdPlane
+{
+public:
+    explicit ColdPlane(double overshoot)
+        : m_plane(settings(overshoot), dialect(), hooks())
+    {
+        put({ConfigurationKey, 1, 0, nlohmann::json::object()});
+    }
+    void putServer(const std::string &name, std::uint64_t boot, Duration warmupLeft)
+    {
+        const auto left = duration_cast<milliseconds>(warmupLeft).count();
+        put({{ServerKind, name}, ++m_sequence, 0, {{"boot", boot}, {"left", left}, {"sequence", m_sequence}}});
+    }
+    void serversListed()
+    {
+        m_plane.handle(m_now, KindSyncedEvent{ServerKind, 1});
+        m_plane.endBatch(m_now);
+    }
+    void wait(Duration duration)
+    {
+        m_now += duration;
+    }
+    Instant now() const
+    {
+        return m_now;
+    }
+
+    std::vector<ColdServer> cold;
+    /// Lists of cold servers and routing snapshots in the order in which they were passed on.
+    std::string order;
+
+private:
+    static GatewayControlPlaneSettings settings(double overshoot)
+    {
+        GatewayControlPlaneSettings settings;
+        settings.self = {"vm-0", 1};
+        settings.warmupBound = {overshoot, 8};
+        return settings;
+    }
+    static GatewayDialect dialect()
+    {
+        GatewayDialect dialect;
+        dialect.configuration = ConfigurationKey;
+        dialect.serverKind = ServerKind;
+        dialect.readConfiguration = [](const StoredObject &) {
+            ParsedConfiguration parsed;
+            parsed.configuration.version = 1;
+            ServiceRule rule;
+            rule.name = "booking";
+            rule.warmupMs = 4'000;
+            rule.warmupPerSecond = 3.6;
+            parsed.configuration.services = {rule};
+            return parsed;
+        };
+        dialect.readServer = [](const StoredObject &object) {
+            ParsedServer parsed;
+            parsed.server.identity = {object.key.name, object.value["boot"].get<std::uint64_t>()};
+            parsed.server.service = "booking";
+            parsed.server.address = "10.0.0.1:80";
+            parsed.server.sequence = object.value["sequence"].get<std::uint64_t>();
+            parsed.server.warmupLeft = milliseconds(object.value["left"].get<std::int64_t>());
+            return parsed;
+        };
+        return dialect;
+    }
+    GatewayHooks hooks()
+    {
+        GatewayHooks hooks;
+        hooks.unknownValuesChanged = [](std::size_t) {
+        };
+        hooks.bootSeen = [](const std::string &, std::uint64_t) {
+        };
+        hooks.takeChanges = [] {
+            return std::vector<WatchChange>();
+        };
+        hooks.setFeed = [](const WatchFeedView &) {
+        };
+        hooks.coldServersChanged = [this](const std::vector<ColdServer> &it) {
+            cold = it;
+            order += 'c';
+        };
+        hooks.snapshotChanged = [this](const std::shared_ptr<const RoutingSnapshot> &) {
+            order += 's';
+        };
+        return hooks;
+    }
+    void put(const StoredObject &object)
+    {
+        m_plane.handle(m_now, ObjectEvent{object, true});
+        m_plane.endBatch(m_now);
+    }
+
+    Instant m_now = Instant() + seconds(1'000);
+    std::uint64_t m_sequence = 0;
+    GatewayControlPlane m_plane;
+};
+}
+
+// Guards against requests without a permit: a server in a routing snapshot before it is known to be cold.
+TEST(ColdPlaneTest, ServerIsKnownToBeColdBeforeItIsRouted)
+{
+    ColdPlane plane(1.5);
+    plane.putServer("s-1", 1, {});
+    plane.serversListed();
+    EXPECT_TRUE(plane.cold.empty());
+    plane.order.clear();
+    plane.putServer("s-2", 1, seconds(3));
+    EXPECT_EQ(plane.order, "cs");
+    ASSERT_EQ(plane.cold.size(), 1U);
+    EXPECT_EQ(plane.cold[0].server, (Identity{"s-2", 1}));
+    EXPECT_EQ(plane.cold[0].until, plane.now() + seconds(3));
+    EXPECT_EQ(plane.cold[0].openAt, Instant());
+    EXPECT_DOUBLE_EQ(plane.cold[0].perSecond, coldRate(3.6, {1.5, 8}));
+}
+
+// Guards against a burst to a server that has joined and whose entry does not say yet that it is cold.
+TEST(ColdPlaneTest, ServerThatJoinsIsColdForTheTimeOfItsService)
+{
+    ColdPlane plane(1.5);
+    plane.putServer("s-1", 1, {});
+    plane.serversListed();
+    plane.wait(seconds(12));
+    plane.putServer("s-2", 1, {});
+    ASSERT_EQ(plane.cold.size(), 1U);
+    EXPECT_EQ(plane.cold[0].until, plane.now() + seconds(4));
+}
+
+// Guards against requests under way being added to those with permits, and against a snapshot for each heartbeat.
+TEST(ColdPlaneTest, ServerThatBecomesColdAgainGetsAPauseAndNoNewSnapshot)
+{
+    ColdPlane plane(1.5);
+    plane.putServer("s-1", 1, {});
+    plane.serversListed();
+    plane.order.clear();
+    plane.putServer("s-1", 1, seconds(3));
+    ASSERT_EQ(plane.cold.size(), 1U);
+    EXPECT_EQ(plane.cold[0].openAt, plane.now() + seconds(1));
+    plane.wait(seconds(2));
+    plane.putServer("s-1", 1, seconds(1));
+    EXPECT_EQ(plane.order, "c");
+    plane.putServer("s-1", 1, {});
+    EXPECT_EQ(plane.order, "cc");
+    EXPECT_TRUE(plane.cold.empty());
+}
+
+// Guards against a changed behaviour in deployments that state no bound.
+TEST(ColdPlaneTest, WithoutABoundNoServerIsCold)
+{
+    ColdPlane plane(0);
+    plane.putServer("s-1", 1, seconds(9));
+    plane.serversListed();
+    plane.putServer("s-2", 1, seconds(9));
+    EXPECT_EQ(plane.order.find('c'), std::string::npos);
+}
--- a/src/gateway/tests/serverdirectorytest.cpp
+++ b/src/gateway/tests/serverdirectorytest.cpp
@@ -81,7 +81,9 @@
     EXPECT_FALSE(directory.markLeaving(at(0), {"s-1", 4}));
     EXPECT_FALSE(directory.markLeaving(at(0), {"unknown", 5}));
     EXPECT_TRUE(directory.markLeaving(at(0), {"s-1", 5}));
-    directory.put(at(100), entry("s-1", 6));
+    directory.put(at(9'000), entry("s-6", 5));
+    EXPECT_TRUE(directory.warmups(at(9'000)).empty()) << "the deployment starts";
+    directory.put(at(20'100), entry("s-1", 6));
     EXPECT_EQ(directory.vmEntries("shop", at(100))[1].state, VmState::Live);
     EXPECT_FALSE(directory.isLeavingUnconfirmed({"s-1", 5}));
 }
@@ -244,3 +246,73 @@
     directory.update(at(221'000), true);
     EXPECT_TRUE(directory.put(at(221'100), entry("s-1", 6)));
 }
+
+namespace
+{
+ServerEntry coldEntry(const std::string &name, std::uint64_t boot, Duration left, std::uint64_t sequence)
+{
+    auto cold = entry(name, boot, false, sequence);
+    cold.warmupLeft = left;
+    return cold;
+}
+}
+
+// Guards against tables that are rebuilt for each heartbeat of a cold server, and against missing that it is cold.
+TEST(ServerDirectoryTest, CountdownOfAColdServerIsTakenOverWithoutAChangeOfTheServers)
+{
+    auto directory = directoryOf(3);
+    directory.setListed(at(0));
+    const auto revision = directory.revision("shop");
+    EXPECT_TRUE(directory.warmups(at(0)).empty());
+    EXPECT_FALSE(directory.put(at(1'000), coldEntry("s-1", 5, seconds(10), 2)));
+    const auto warmupRevision = directory.warmupRevision();
+    EXPECT_FALSE(directory.put(at(3'010), coldEntry("s-1", 5, seconds(8), 3)));
+    EXPECT_FALSE(directory.put(at(3'020), coldEntry("s-1", 5, seconds(10), 1))) << "an older copy";
+    EXPECT_EQ(directory.warmupRevision(), warmupRevision);
+    EXPECT_EQ(directory.revision("shop"), revision);
+    const auto list = directory.warmups(at(4'000));
+    ASSERT_EQ(list.size(), 1U);
+    EXPECT_EQ(list[0].server, (Identity{"s-1", 5}));
+    EXPECT_EQ(list[0].until, at(11'000));
+    EXPECT_TRUE(list[0].hadTraffic) << "it was warm before";
+    directory.put(at(5'000), coldEntry("s-1", 5, {}, 4));
+    EXPECT_GT(directory.warmupRevision(), warmupRevision);
+    EXPECT_TRUE(directory.warmups(at(5'000)).empty());
+}
+
+// Guards against a burst to a server that becomes cold again in the middle of traffic.
+TEST(ServerDirectoryTest, ServerThatBecomesColdAgainIsListedAgain)
+{
+    auto directory = directoryOf(3);
+    directory.setListed(at(0));
+    directory.put(at(0), coldEntry("s-9", 5, seconds(2), 1));
+    ASSERT_EQ(directory.warmups(at(10)).size(), 1U);
+    EXPECT_FALSE(directory.warmups(at(10))[0].hadTraffic);
+    directory.put(at(2'000), coldEntry("s-9", 5, {}, 2));
+    directory.put(at(9'000), coldEntry("s-9", 5, seconds(3), 3));
+    const auto list = directory.warmups(at(9'010));
+    ASSERT_EQ(list.size(), 1U);
+    EXPECT_EQ(list[0].since, at(9'000));
+    EXPECT_EQ(list[0].until, at(12'000));
+    EXPECT_TRUE(list[0].hadTraffic);
+}
+
+// Guards against taking every server for one that has just started: at the start of a daemon, and when a server whose
+// entry was lost registers again.
+TEST(ServerDirectoryTest, OnlyProcessesThatStartLaterHaveJoined)
+{
+    auto directory = directoryOf(3);
+    directory.setListed(at(0));
+    EXPECT_TRUE(directory.warmups(at(0)).empty());
+    directory.put(at(9'000), entry("s-6", 5));
+    EXPECT_TRUE(directory.warmups(at(9'000)).empty()) << "the deployment starts";
+    directory.put(at(20'100), entry("s-1", 6));
+    directory.put(at(20'200), entry("s-7", 5));
+    directory.remove(at(20'300), "s-2");
+    directory.put(at(20'400), entry("s-2", 5, false, 3));
+    const auto list = directory.warmups(at(20'500));
+    ASSERT_EQ(list.size(), 2U);
+    EXPECT_EQ(list[0].server, (Identity{"s-1", 6}));
+    EXPECT_EQ(list[0].joinedAt, std::optional(at(20'100)));
+    EXPECT_EQ(list[1].server, (Identity{"s-7", 5}));
+}
--- a/src/proxy/permits.cpp
+++ b/src/proxy/permits.cpp
@@ -31,6 +31,45 @@
     }
 }
 
+void RequestHandler::observeColdAnswer(const PendingRequest &request, AttemptEnd end, Duration latency)
+{
+    auto &limits = m_shared.serverLimits();
+    if (limits.coldServers() == 0 || !limits.isLimited(request.serverIdentity)) {
+        return;
+    }
+    PaceSigns signs;
+    const double seconds = std::chrono::duration<double>(latency).count();
+    switch (end) {
+    case AttemptEnd::Answered:
+        (isSlowAnswer(seconds, meanLatencyOfPeers(m_now, request)) ? signs.slow : signs.good) = 1;
+        break;
+    case AttemptEnd::Shed:
+        signs.refused = 1;
+        break;
+    case AttemptEnd::Failed:
+        signs.silent = 1;
+        break;
+    case AttemptEnd::NotReady:
+    case AttemptEnd::Cancelled:
+        return;
+    }
+    limits.observeAnswer(m_now, request.serverIdentity, signs);
+}
+
+double RequestHandler::meanLatencyOfPeers(Instant now, const PendingRequest &request)
+{
+    double sum = 0;
+    std::size_t answered = 0;
+    for (const auto &it : request.traffic->observations.views(now)) {
+        if (it.server == request.server || it.latencySeconds <= 0) {
+            continue;
+        }
+        sum += it.latencySeconds;
+        ++answered;
+    }
+    return answered == 0 ? 0 : sum / static_cast<double>(answered);
+}
+
 Duration RequestHandler::longestPermitWait(const PendingRequest &request, ServerIndex server) const
 {
     auto limit = MaxPermitWait;
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -97,6 +97,10 @@
     Duration longestPermitWait(const PendingRequest &request, ServerIndex server) const;
     /// Continues the requests whose questions for a permit have been answered.
     void continuePermitted();
+    /// Tells the issuer of a cold server's permits how the server answers.
+    void observeColdAnswer(const PendingRequest &request, AttemptEnd end, Duration latency);
+    /// Mean latency of the answers of the service's other servers, in seconds; 0 when there are none.
+    static double meanLatencyOfPeers(Instant now, const PendingRequest &request);
     /// Records the request rate that a response states. That it states none counts only in an answer of the addressed
     /// server, not in a refusal or a defective response.
     void observeRate(const PendingRequest &request, unsigned status, const ResponseInfo &info);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -184,6 +184,7 @@
                                            {attemptEndOf(reason, request.responseStatus), latency,
                                             request.rule ? request.load : parseReportedLoad(request.reportedLoad),
                                             request.outstandingAtStart});
+    observeColdAnswer(request, attemptEndOf(reason, request.responseStatus), latency);
     if (reason == Reason::None) {
         request.traffic->admission.finished(m_now, latency);
     } else if (reason == Reason::ConnectionLost || reason == Reason::ResponseCut) {
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -107,6 +107,9 @@
     }
     auto open = views;
     const auto leftOut = leaveOut(now, request, conditions, open);
+    if (request.permitRefusals > 0 && hasLimits && conditions.limits->coldServers() > 0) {
+        leaveOutLimited(*conditions.limits, open);
+    }
     const auto server = chooseFrom(open);
     const auto reason = leftOut == Reason::None ? Reason::NoServer : leftOut;
     return {server, Token{}, server == noServer ? reason : Reason::None};
@@ -132,6 +135,25 @@
     return reason;
 }
 
+void ServiceTraffic::leaveOutLimited(SharedServerLimits &limits, std::vector<ServerView> &views) const
+{
+    std::vector<ServerView *> limited;
+    std::size_t others = 0;
+    for (auto &it : views) {
+        if (!it.eligible) {
+            continue;
+        }
+        if (limits.isLimited(route->servers()[it.server].identity)) {
+            limited.push_back(&it);
+        } else {
+            ++others;
+        }
+    }
+    for (auto *it : limited) {
+        it->eligible = others == 0;
+    }
+}
+
 Instant ServiceTraffic::firstPauseEnd(Instant now, SharedServerPauses &pauses) const
 {
     auto first = Instant::max();
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -87,6 +87,9 @@
     /// Returns why the last one was; None if none was.
     Reason leaveOut(Instant now, const PendingRequest &request, const ServerConditions &conditions,
                     std::vector<ServerView> &views) const;
+    /// Leaves out servers with a rate as long as there are others. Cold servers look idle, so after a domain has
+    /// recovered a request would ask one after the other for a permit.
+    void leaveOutLimited(SharedServerLimits &limits, std::vector<ServerView> &views) const;
 
     std::uint32_t m_liveWorkers = 0;
     /// The observations have a list of servers.
--- a/src/proxy/sharedserverlimits.cpp
+++ b/src/proxy/sharedserverlimits.cpp
@@ -29,6 +29,7 @@
     std::unique_lock lock(m_mutex);
     auto result = body(m_limits, actions);
     m_limitedServers.store(m_limits.limitedServers(), std::memory_order_relaxed);
+    m_coldServers.store(m_limits.coldServers(), std::memory_order_relaxed);
     for (const auto &it : actions.outcomes) {
         m_outcomes.emplace(it.number, it.permit);
     }
@@ -78,6 +79,25 @@
     });
 }
 
+void SharedServerLimits::setColdServers(const std::vector<ColdServer> &servers)
+{
+    locked([&](ServerLimits &it, LimitActions &) {
+        it.setColdServers(servers);
+        return 0;
+    });
+}
+
+void SharedServerLimits::observeAnswer(Instant now, const Identity &server, const PaceSigns &signs)
+{
+    if (coldServers() == 0) {
+        return;
+    }
+    locked([&](ServerLimits &it, LimitActions &) {
+        it.observeAnswer(now, server, signs);
+        return 0;
+    });
+}
+
 PermitDecision SharedServerLimits::ask(Instant now, const Identity &server, std::uint32_t priority, Duration maxDelay)
 {
     return locked(
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -182,6 +182,52 @@
     EXPECT_EQ(open.requests(), requests);
 }
 
+namespace
+{
+/// Lower than one request within the time of a test.
+constexpr double ColdRate = 0.1;
+}
+
+// Guards against requests to the cold owner of a key without a permit, and against letting them wait: no other server
+// may run them.
+TEST_F(WorkerTest, ColdOwnerGetsNoMoreThanItsRate)
+{
+    RawServer server([](int, const std::string &) { return SmallAnswer; });
+    setRoutes({server.address()}, Distribution::Keyed);
+    shared.serverLimits().setColdServers({{{"shop-0", 0}, ColdRate, {}, MonotonicClock::now() + seconds(60)}});
+    listen();
+    for (int n = 0; n < 4; ++n) {
+        const auto answer = answerToRequest(n);
+        EXPECT_EQ(answer.compare(0, 12, "HTTP/1.1 503"), 0) << answer;
+        EXPECT_NE(answer.find("server-rate"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("not-run"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(server.requests(), 0);
+    shared.serverLimits().setColdServers({});
+    EXPECT_EQ(answerToRequest(9).compare(0, 12, "HTTP/1.1 200"), 0);
+}
+
+// Guards against refusing a request that a warm server takes, because several cold ones, which look idle, were asked
+// first: all servers of a domain that recovers are cold.
+TEST_F(WorkerTest, RequestsGoToTheWarmServerAmongManyColdOnes)
+{
+    RawServer warm([](int, const std::string &) { return SmallAnswer; });
+    std::vector<std::string> addresses{warm.address()};
+    std::vector<ColdServer> cold;
+    for (int n = 1; n < 12; ++n) {
+        addresses.emplace_back("127.0.0.1:1");
+        cold.push_back({{fmt::format("shop-{}", n), 0}, ColdRate, {}, MonotonicClock::now() + seconds(60)});
+    }
+    setRoutes(addresses, Distribution::Balanced);
+    shared.serverLimits().setColdServers(cold);
+    listen();
+    constexpr int requests = 6;
+    for (int n = 0; n < requests; ++n) {
+        EXPECT_EQ(answerToRequest(n).compare(0, 12, "HTTP/1.1 200"), 0);
+    }
+    EXPECT_EQ(warm.requests(), requests);
+}
+
 namespace
 {
 class LeavingServerTest : public WorkerTest
--- a/src/requests/limitmessages.cpp
+++ b/src/requests/limitmessages.cpp
@@ -6,6 +6,7 @@
 #include <galenarock/serverlimits.h>
 
 #include "peer/message_p.h"
+#include "peer/wire_p.h"
 
 namespace Galenarock
 {
@@ -14,6 +15,8 @@
 {
 /// Longest delay in a message; larger numbers are malformed.
 constexpr std::int64_t MaxDelayMs = 60'000;
+/// Number of the added field with the answers of a cold server. Builds without it skip the field.
+constexpr std::uint8_t SignsField = 1;
 
 /// Wire formats. Kept separate from the types in memory, so that a change of those types does not change the format.
 struct WireLimit
@@ -52,6 +55,42 @@
     }
 };
 
+struct WireSigns
+{
+    std::uint32_t good = 0;
+    std::uint32_t slow = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t silent = 0;
+    template<typename Archive> void serialize(Archive &archive)
+    {
+        archive(good, slow, refused, silent);
+    }
+};
+
+std::string encodeSigns(const PaceSigns &signs)
+{
+    if (signs.isEmpty()) {
+        return {};
+    }
+    const WireSigns wire{signs.good, signs.slow, signs.refused, signs.silent};
+    return Wire::encodeAddedFields({{SignsField, Wire::encode(wire)}});
+}
+
+PaceSigns readSigns(const std::vector<Wire::AddedField> &fields)
+{
+    for (const auto &it : fields) {
+        if (it.number != SignsField) {
+            continue;
+        }
+        WireSigns wire;
+        std::istringstream stream(it.value);
+        Wire::InputArchive archive(stream);
+        archive(wire);
+        return {wire.good, wire.slow, wire.refused, wire.silent};
+    }
+    return {};
+}
+
 WireLimit toWire(const ServerLimit &limit)
 {
     return {limit.server.name, limit.server.boot, limit.perSecond, limit.version};
@@ -90,7 +129,8 @@
 
 std::string encode(const PermitRequest &request)
 {
-    return encodeMessage(WireRequest{request.number, toWire(request.limit), request.priority, toMs(request.maxDelay)});
+    const WireRequest wire{request.number, toWire(request.limit), request.priority, toMs(request.maxDelay)};
+    return encodeMessage(wire) + encodeSigns(request.signs);
 }
 
 std::string encode(const PermitReply &reply)
@@ -114,11 +154,16 @@
 
 Result<PermitRequest> decodePermitRequest(const std::string &payload)
 {
-    BOOST_LEAF_AUTO(wire, decodeMessage<WireRequest>(payload));
+    PaceSigns signs;
+    const auto readEnd = [&](std::istream &stream, Wire::InputArchive &archive) {
+        signs = readSigns(Wire::readAddedFields(stream, archive));
+    };
+    BOOST_LEAF_AUTO(wire, Wire::decodeWith<WireRequest>(payload, readEnd));
     if (!isValid(wire.limit) || !isValidDelay(wire.maxDelayMs)) {
         return fail(ErrorCode::MalformedMessage, "permit request");
     }
-    return PermitRequest{wire.number, fromWire(std::move(wire.limit)), wire.priority, milliseconds(wire.maxDelayMs)};
+    return PermitRequest{wire.number, fromWire(std::move(wire.limit)), wire.priority, milliseconds(wire.maxDelayMs),
+                         signs};
 }
 
 Result<PermitReply> decodePermitReply(const std::string &payload)
--- a/src/requests/permitissuer.cpp
+++ b/src/requests/permitissuer.cpp
@@ -9,8 +9,6 @@
 {
 /// Share of a server's rate that is kept for the highest of several competing priorities.
 constexpr double ReservedShare = 0.75;
-/// Tokens that are kept for a burst, in seconds of the rate.
-constexpr double BurstSeconds = 0.5;
 /// Time for which a priority counts as competing after its last request.
 constexpr Duration DemandMemory = seconds(2);
 constexpr Duration BucketRetention = seconds(10);
@@ -47,10 +45,10 @@
     }
 }
 
-void PermitIssuer::refill(Instant now, Bucket &bucket, double perSecond)
+void PermitIssuer::refill(Instant now, Bucket &bucket, double perSecond, double burstSeconds)
 {
     const double tokens = perSecond * toSeconds(now - bucket.refilledAt);
-    const double burst = perSecond * BurstSeconds;
+    const double burst = perSecond * burstSeconds;
     bucket.refilledAt = now;
     if (!hasCompetition(now, bucket)) {
         bucket.open = std::min(std::max(1.0, burst), bucket.open + bucket.reserved + tokens);
@@ -65,7 +63,7 @@
 }
 
 Permit PermitIssuer::issue(Instant now, const Identity &server, double perSecond, std::uint32_t priority,
-                           Duration maxDelay)
+                           Duration maxDelay, double burstSeconds)
 {
     const auto [found, isNew] = m_buckets.try_emplace(server);
     auto &bucket = found->second;
@@ -73,7 +71,7 @@
         bucket.refilledAt = now;
     }
     noteDemand(now, bucket, priority);
-    refill(now, bucket, perSecond);
+    refill(now, bucket, perSecond, burstSeconds);
     const bool isHighest = priority <= bucket.highestPriority;
     if (isHighest && bucket.reserved >= 1) {
         bucket.reserved -= 1;
--- a/src/requests/serverlimits.cpp
+++ b/src/requests/serverlimits.cpp
@@ -29,6 +29,16 @@
 constexpr Duration ExpiryInterval = seconds(1);
 /// Requests per second to a server that states an even lower rate.
 constexpr double SlowestRate = 0.1;
+/// A cold server gets no burst beyond one request.
+constexpr double ColdBurstSeconds = 0;
+/// Number of daemons that a daemon without the list of all assumes in front of a cold server; more than any fleet of
+/// this size has, since each of them could be in the same position.
+constexpr std::size_t AssumedColdFleetSize = 128;
+/// Longer than any server stays cold: a daemon that was cut off must not find the whole rate free again.
+constexpr Duration ColdDeadMemberMemory = seconds(600);
+/// Part of a cold server's rate that can be saved up by a daemon without the issuer, in seconds. All daemons can get
+/// requests at the same time after none for a while.
+constexpr Duration ColdOwnPartMemory = seconds(2);
 constexpr std::size_t MaxKnownIssuers = 16'384;
 constexpr std::size_t MaxQuestions = 10'000;
 
@@ -100,11 +110,78 @@
     return found->second;
 }
 
+std::size_t ServerLimits::coldFleetSize(Instant now) const
+{
+    const auto cutOff = std::count_if(m_deadSince.begin(), m_deadSince.end(),
+                                      [&](const auto &it) { return now - it.second < ColdDeadMemberMemory; });
+    const auto known = m_running.size() + static_cast<std::size_t>(cutOff);
+    return known == 1 && !m_isFleetListed ? AssumedColdFleetSize : known;
+}
+
+/// The lower of the rates that the server states, that this daemon knows for a cold server, and that a question states.
+/// Another daemon may have read the entry of the server first.
+ServerLimits::Pace ServerLimits::paceOf(const ServerLimit &limit) const
+{
+    const auto stated = m_table.find(limit.server).perSecond;
+    Pace pace;
+    const auto found = m_cold.find(limit.server);
+    if (found != m_cold.end()) {
+        pace = {found->second.perSecond, true, found->second.openAt};
+    } else if (limit.version == 0 && limit.perSecond > 0) {
+        pace = {limit.perSecond, true, {}};
+    }
+    if (stated > 0) {
+        pace.perSecond = pace.isCold ? std::min(pace.perSecond, stated) : stated;
+    }
+    return pace;
+}
+
 /// Rate that this daemon gives out as issuer. Daemons that it does not reach use their own parts, or have an issuer of
 /// their own.
-double ServerLimits::issuedRate(Instant now, double perSecond) const
+double ServerLimits::issuedRate(Instant now, const Pace &pace) const
+{
+    const auto fleet = pace.isCold ? coldFleetSize(now) : fleetSize(now);
+    return pace.perSecond * static_cast<double>(m_running.size()) / static_cast<double>(fleet);
+}
+
+/// Requests to a cold server have no reserved share: two buckets for one server could save up twice as many tokens.
+Permit ServerLimits::issueAsIssuer(Instant now, const Identity &server, const Pace &pace, std::uint32_t priority,
+                                   Duration maxDelay)
+{
+    const auto rate = issuedRate(now, pace);
+    if (!pace.isCold) {
+        return m_issuer.issue(now, server, rate, priority, maxDelay);
+    }
+    if (now < pace.openAt) {
+        return {false, pace.openAt - now};
+    }
+    if (2 * m_running.size() < coldFleetSize(now)) {
+        return issueFromOwnPart(now, server, pace);
+    }
+    return m_issuer.issue(now, server, rate * m_pace.share(server), 0, maxDelay, ColdBurstSeconds);
+}
+
+void ServerLimits::setColdServers(const std::vector<ColdServer> &servers)
+{
+    m_cold.clear();
+    for (const auto &it : servers) {
+        m_cold.emplace(it.server, it);
+    }
+    for (auto it = m_signs.begin(); it != m_signs.end();) {
+        it = isCold(it->first) ? std::next(it) : m_signs.erase(it);
+    }
+}
+
+void ServerLimits::observeAnswer(Instant now, const Identity &server, const PaceSigns &signs)
 {
-    return perSecond * static_cast<double>(m_running.size()) / static_cast<double>(fleetSize(now));
+    if (!isCold(server)) {
+        return;
+    }
+    if (issuerOf(server) == m_self) {
+        m_pace.add(now, server, signs);
+    } else {
+        m_signs[server] += signs;
+    }
 }
 
 void ServerLimits::observe(Instant now, const Identity &server, std::optional<double> perSecond)
@@ -135,6 +212,9 @@
             rates.emplace(it.server, it.perSecond);
         }
     }
+    for (const auto &[server, it] : m_cold) {
+        rates[server] = paceOf({server, 0, 0}).perSecond;
+    }
     return rates;
 }
 
@@ -149,10 +229,14 @@
 PermitDecision ServerLimits::ask(Instant now, const Identity &server, std::uint32_t priority, Duration maxDelay,
                                  LimitActions &actions)
 {
-    const auto limit = m_table.find(server);
-    if (limit.perSecond <= 0) {
+    auto limit = m_table.find(server);
+    const auto pace = paceOf(limit);
+    if (pace.perSecond <= 0) {
         return {};
     }
+    if (pace.isCold) {
+        limit = {server, pace.perSecond, 0};
+    }
     const auto toDecision = [](const Permit &permit) {
         return PermitDecision{permit.isGranted ? PermitState::Granted : PermitState::Refused, permit.delay, 0};
     };
@@ -162,30 +246,42 @@
     }
     const auto &issuer = issuerOf(server);
     if (issuer == m_self) {
-        const auto rate = issuedRate(now, limit.perSecond);
-        return toDecision(remember(now, server, priority, m_issuer.issue(now, server, rate, priority, maxDelay)));
+        return toDecision(remember(now, server, priority, issueAsIssuer(now, server, pace, priority, maxDelay)));
     }
     const auto silent = m_silentUntil.find(issuer);
     const bool isSilent = silent != m_silentUntil.end() && now < silent->second;
-    if (isSilent || m_questions.size() >= MaxQuestions) {
-        return toDecision(remember(now, server, priority, issueFromOwnPart(now, server)));
+    if (now < pace.openAt) {
+        return toDecision(remember(now, server, priority, {false, pace.openAt - now}));
+    }
+    // Of a fleet that falls into many parts only the largest has an issuer: the buckets of many would fill at the same
+    // time (18 requests in a second with 20 daemons that were cut off).
+    const bool isMinority = pace.isCold && 2 * m_running.size() < coldFleetSize(now);
+    if (isSilent || isMinority || m_questions.size() >= MaxQuestions) {
+        return toDecision(remember(now, server, priority, issueFromOwnPart(now, server, pace)));
     }
     const auto number = m_nextNumber++;
+    PaceSigns signs;
+    if (const auto found = m_signs.find(server); found != m_signs.end()) {
+        signs = found->second;
+        m_signs.erase(found);
+    }
     m_questions.emplace(number, Question{server, issuer, priority, now});
     actions.messages.push_back(
-        {issuer, RequestMessage::PermitRequest, encode(PermitRequest{number, limit, priority, maxDelay})});
+        {issuer, RequestMessage::PermitRequest, encode(PermitRequest{number, limit, priority, maxDelay, signs})});
     return {PermitState::Pending, {}, number};
 }
 
 /// The first token comes at a random time, so that many daemons that lose the issuer at once do not all send one.
-Permit ServerLimits::issueFromOwnPart(Instant now, const Identity &server)
+Permit ServerLimits::issueFromOwnPart(Instant now, const Identity &server, const Pace &pace)
 {
-    const double rate = OwnPartShare * m_table.find(server).perSecond / static_cast<double>(fleetSize(now));
+    const auto fleet = pace.isCold ? coldFleetSize(now) : fleetSize(now);
+    const double rate = OwnPartShare * pace.perSecond / static_cast<double>(fleet);
     auto &part = m_ownParts[server];
     if (part.refilledAt == Instant() || now - part.refilledAt > OwnPartRetention) {
         part = {uniform(), now};
     }
-    part.tokens = std::min(1.0, part.tokens + rate * toSeconds(now - part.refilledAt));
+    const auto saved = pace.isCold ? std::min(ColdOwnPartMemory, now - part.refilledAt) : now - part.refilledAt;
+    part.tokens = std::min(1.0, part.tokens + rate * toSeconds(saved));
     part.refilledAt = now;
     if (part.tokens >= 1) {
         part.tokens -= 1;
@@ -229,10 +325,11 @@
 {
     mergeEntry(now, request.limit);
     const auto limit = m_table.find(request.limit.server);
+    const auto pace = paceOf(request.limit);
+    m_pace.add(now, limit.server, request.signs);
     Permit permit{true, {}};
-    if (limit.perSecond > 0) {
-        permit =
-            m_issuer.issue(now, limit.server, issuedRate(now, limit.perSecond), request.priority, request.maxDelay);
+    if (pace.perSecond > 0) {
+        permit = issueAsIssuer(now, limit.server, pace, request.priority, request.maxDelay);
     }
     actions.messages.push_back(
         {asker, RequestMessage::PermitReply, encode(PermitReply{request.number, limit, permit})});
@@ -256,6 +353,9 @@
 
 void ServerLimits::step(Instant now, LimitActions &actions)
 {
+    for (auto it = m_cold.begin(); it != m_cold.end();) {
+        it = now >= it->second.until ? m_cold.erase(it) : std::next(it);
+    }
     endQuestions(now, actions);
     sendRecentChanges(now, actions);
     synchronize(now, actions);
@@ -267,6 +367,7 @@
     m_nextExpiryAt = now + ExpiryInterval;
     m_table.expire(now);
     m_issuer.expire(now);
+    m_pace.expire(now);
     if (m_issuers.size() > MaxKnownIssuers) {
         m_issuers.clear(); // they are found again when they are needed
     }
@@ -284,7 +385,8 @@
         const auto [number, question] = *m_questions.begin();
         m_questions.erase(m_questions.begin());
         m_silentUntil[question.issuer] = now + SilentIssuerPause;
-        const auto permit = isLimited(question.server) ? issueFromOwnPart(now, question.server) : Permit{true, {}};
+        const auto pace = paceOf({question.server, 0, 0});
+        const auto permit = pace.perSecond > 0 ? issueFromOwnPart(now, question.server, pace) : Permit{true, {}};
         actions.outcomes.push_back({number, remember(now, question.server, question.priority, permit)});
     }
 }
