--- a/src/gateway/tests/serverdirectorytest.cpp
+++ b/src/gateway/tests/serverdirectorytest.cpp
@@ -81,9 +81,7 @@
     EXPECT_FALSE(directory.markLeaving(at(0), {"s-1", 4}));
     EXPECT_FALSE(directory.markLeaving(at(0), {"unknown", 5}));
     EXPECT_TRUE(directory.markLeaving(at(0), {"s-1", 5}));
-    directory.put(at(9'000), entry("s-6", 5));
-    EXPECT_TRUE(directory.warmups(at(9'000)).empty()) << "the deployment starts";
-    directory.put(at(20'100), entry("s-1", 6));
+    directory.put(at(100), entry("s-1", 6));
     EXPECT_EQ(directory.vmEntries("shop", at(100))[1].state, VmState::Live);
     EXPECT_FALSE(directory.isLeavingUnconfirmed({"s-1", 5}));
 }
--- a/src/requests/tests/coldserverfleettest.cpp
+++ b/src/requests/tests/coldserverfleettest.cpp
@@ -474,3 +474,19 @@
             [](ErrorCode, const std::string &detail) { FAIL() << detail; });
     }
 }
+
+// Guards against keys that are planned for a cold server at its full capacity, and against keeping it at the cold rate
+// once it is warm.
+TEST(ColdServerTest, RateOfAColdServerIsItsCapacityUntilItIsWarm)
+{
+    ServerLimits limits("vm-1", 1);
+    const auto begin = Instant() + seconds(1'000);
+    const Identity other{"booking-2", 7};
+    limits.observe(begin, other, 1);
+    limits.setColdServers({{Booking, 2, {}, begin + seconds(3)}, {other, 2, {}, begin + seconds(3)}});
+    EXPECT_EQ(limits.rates(), (std::map<Identity, double>{{Booking, 2}, {other, 1}}));
+    LimitActions actions;
+    limits.step(begin + seconds(3), actions);
+    EXPECT_EQ(limits.rates(), (std::map<Identity, double>{{other, 1}}));
+    EXPECT_EQ(limits.ask(begin + seconds(3), Booking, 0, {}, actions).state, PermitState::NotNeeded);
+}
