Refuse malformed permit requests whatever exception cereal throws

Cause: since decodePermitRequest() caught cereal's own exceptions only; a length field without its bytes throws another one, which would have ended the daemon.

--- a/src/requests/limitmessages.cpp
+++ b/src/requests/limitmessages.cpp
@@ -1,4 +1,6 @@
 #include <cmath>
+#include <exception>
+#include <sstream>
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -154,11 +156,16 @@
 
 Result<PermitRequest> decodePermitRequest(const std::string &payload)
 {
+    std::istringstream stream(payload);
+    WireRequest wire;
     PaceSigns signs;
-    const auto readEnd = [&](std::istream &stream, Wire::InputArchive &archive) {
+    try {
+        Wire::InputArchive archive(stream);
+        archive(wire);
         signs = readSigns(Wire::readAddedFields(stream, archive));
-    };
-    BOOST_LEAF_AUTO(wire, Wire::decodeWith<WireRequest>(payload, readEnd));
+    } catch (const std::exception &it) { // a length without its bytes is none of cereal's exceptions
+        return fail(ErrorCode::MalformedMessage, it.what());
+    }
     if (!isValid(wire.limit) || !isValidDelay(wire.maxDelayMs)) {
         return fail(ErrorCode::MalformedMessage, "permit request");
     }
--- a/src/requests/tests/coldserverfleettest.cpp
+++ b/src/requests/tests/coldserverfleettest.cpp
@@ -490,3 +490,27 @@
     EXPECT_EQ(limits.rates(), (std::map<Identity, double>{{other, 1}}));
     EXPECT_EQ(limits.ask(begin + seconds(3), Booking, 0, {}, actions).state, PermitState::NotNeeded);
 }
+
+// Guards against a message that ends the daemon: a length field without its bytes, and a message that ends early.
+TEST(ColdServerTest, MalformedQuestionIsRefused)
+{
+    const PermitRequest request{3, {Booking, 2, 0}, 1, milliseconds(20), {4, 3, 2, 1}};
+    const auto payload = encode(request);
+    const auto plain = encode(PermitRequest{3, {Booking, 2, 0}, 1, milliseconds(20), {}});
+    const auto isRead = [](const std::string &text) {
+        return tryOr(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(decodePermitRequest(text));
+                return true;
+            },
+            [](ErrorCode, const std::string &) { return false; });
+    };
+    EXPECT_TRUE(isRead(payload));
+    for (std::size_t n = 0; n < payload.size(); ++n) {
+        EXPECT_EQ(isRead(payload.substr(0, n)), n == plain.size()) << n;
+    }
+    // After the byte order mark and the number follows the length of the server's name, of 8 bytes.
+    auto huge = payload;
+    huge.replace(9, 8, std::string(8, '\x7f'));
+    EXPECT_FALSE(isRead(huge));
+}
