Send no requests to failure domains that are being evacuated

Cause: an operator had no way to take a failure domain out of use while its servers run.

Change: an object of the kind "evacuations" names the domain. Balanced services leave the servers out at once; without another server requests are refused at once (evacuated, 503, not run). A daemon whose watchers do not watch the kind watches it itself (WatchFeedView::unfedKinds): the feed counted every kind as fed. Events 136 and 137, the gauge galenarock_evacuated_domains, the field "evacuated" of /status.

--- a/include/galenarock/gateway.h
+++ b/include/galenarock/gateway.h
@@ -82,6 +82,9 @@
     std::function<void(unsigned status, const HeaderLookup &header, LeaseReplyEvent &reply)> decodeLeaseReply;
     /// Path of the load balancer's readiness check; `/readyz` gives the same answer.
     std::string readinessPath = "/readyz";
+    /// Kind of the objects that ask for the evacuation of the failure domain of their name, until they are removed;
+    /// empty for a platform without evacuations.
+    std::string evacuationKind = {};
 };
 
 namespace ObjectKind
--- a/include/galenarock/leases.h
+++ b/include/galenarock/leases.h
@@ -36,11 +36,13 @@
     std::uint32_t slots = 1;
     /// Its keys move to other servers, and it gets no new ones.
     bool leaving = false;
+    /// Its failure domain is being evacuated: its keys move as from a leaving server, but in several plans.
+    bool evacuated = false;
 
     friend bool operator==(const LeaseServer &a, const LeaseServer &b)
     {
         return a.identity == b.identity && a.address == b.address && a.failureDomain == b.failureDomain
-            && a.slots == b.slots && a.leaving == b.leaving;
+            && a.slots == b.slots && a.leaving == b.leaving && a.evacuated == b.evacuated;
     }
 };
 
@@ -249,6 +251,9 @@
 
 /// Plans moves that assign ranges without a usable holder and balance the utilization of the servers. Pure function.
 ///
+/// Ranges of evacuated servers move hottest first, in each plan as many as its limits and the room of the other servers
+/// allow, but at least a third of them, so that they have left within a few plans. Without any other server they stay.
+///
 /// Close to `maxRanges`, lightly loaded ranges also move to the holder of a neighbour, so that they can be joined.
 ///
 /// Moves the narrowest range that carries the excess load, since each moved key has a cost: a group of hot
--- a/include/galenarock/requests.h
+++ b/include/galenarock/requests.h
@@ -60,6 +60,8 @@
     ServerPaused,
     ServersUnreachable,
     InternalError,
+    /// Behind InternalError, since ledger records hold the numbers of the reasons.
+    Evacuated,
 };
 
 /// Code text of a reason (`not-owner`), its HTTP status, and its outcome when a caller is refused for it.
--- a/include/galenarock/routing.h
+++ b/include/galenarock/routing.h
@@ -38,16 +38,19 @@
     bool isDraining = false;
     /// When this daemon first saw the server draining.
     Instant drainingSince{};
+    /// No request may be sent to the server, since its failure domain is being evacuated.
+    bool isEvacuated = false;
 
     /// Whether new requests of a balanced service may be sent to the server.
     bool acceptsWork() const
     {
-        return !isDraining && !address.empty();
+        return !isDraining && !isEvacuated && !address.empty();
     }
     friend bool operator==(const RoutedServer &a, const RoutedServer &b)
     {
         return a.identity == b.identity && a.address == b.address && a.failureDomain == b.failureDomain
-            && a.slots == b.slots && a.isDraining == b.isDraining && a.drainingSince == b.drainingSince;
+            && a.slots == b.slots && a.isDraining == b.isDraining && a.drainingSince == b.drainingSince
+            && a.isEvacuated == b.isEvacuated;
     }
 };
 
@@ -57,7 +60,7 @@
     /// noServer unless `reason` is Reason::None.
     ServerIndex server = noServer;
     Token token;
-    /// NoAssignment or OwnerUnavailable when no server may receive the request.
+    /// NoAssignment, OwnerUnavailable or Evacuated when no server may receive the request.
     Reason reason = Reason::NoAssignment;
 
     friend bool operator==(const Owner &a, const Owner &b)
@@ -76,6 +79,8 @@
     const Assignment *assignment = nullptr;
     /// Names of servers that have announced their own drain.
     std::vector<std::string> draining = {};
+    /// Failure domains to whose servers no request is sent.
+    std::vector<std::string> closedDomains = {};
 };
 
 /// One service: its document, its servers and, for keyed services, the owners of its slices. Immutable.
@@ -110,6 +115,11 @@
     {
         return m_sliceStarts.size();
     }
+    /// Whether the service has servers and all of them are in closed failure domains.
+    bool isEvacuated() const
+    {
+        return m_isEvacuated;
+    }
     /// Owner of `hash`. A draining owner counts as unavailable immediately.
     Owner owner(KeyHash hash) const;
     /// Same, but a draining owner is still returned until `drainHandoverPeriod` after RoutedServer::drainingSince.
@@ -129,6 +139,7 @@
     ServiceDocument m_document;
     std::shared_ptr<const std::vector<RoutedServer>> m_servers;
     std::uint32_t m_epoch = 0;
+    bool m_isEvacuated = false;
     /// First key position of each slice, sorted. Kept apart from the owners so that the search reads few cache lines.
     std::vector<KeyHash> m_sliceStarts;
     std::vector<SliceOwner> m_owners;
@@ -145,6 +156,8 @@
     std::vector<std::string> draining;
     /// Routes by host and path prefix; null in deployments where the first path segment is the service name.
     std::shared_ptr<const RouteTable> routes;
+    /// Failure domains to whose servers no request is sent.
+    std::vector<std::string> closedDomains = {};
 };
 
 /// Routing state of all services. Immutable: every thread of the daemon reads it through a std::shared_ptr, which the
--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -87,6 +87,9 @@
     std::int64_t maxGrantDurationMs = 10'000;
     /// Gateway: processor time that this VM may use, in cores. Large VMs lead services first.
     double cpuShare = 1;
+    /// Gateway: time within which no request is sent any more to a failure domain whose evacuation the store has
+    /// accepted; 0 for a platform without evacuations.
+    std::int64_t evacuationMs = 0;
     /// File for the event trace; empty for none.
     std::string trace;
 
@@ -97,7 +100,7 @@
             && a.workers == b.workers && a.logLevel == b.logLevel && a.stopNoticeMs == b.stopNoticeMs
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
-            && a.cpuShare == b.cpuShare && a.trace == b.trace;
+            && a.cpuShare == b.cpuShare && a.evacuationMs == b.evacuationMs && a.trace == b.trace;
     }
 };
 
--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -148,10 +149,13 @@
     Instant fedUntil{};
     /// Revisions by kind that another daemon is known to have.
     std::map<std::string, std::uint64_t> newest;
+    /// Kinds of this daemon that those who feed it do not watch: it makes its own watch calls for them.
+    std::set<std::string> unfedKinds = {};
 
     friend bool operator==(const WatchFeedView &a, const WatchFeedView &b)
     {
-        return a.isWatcher == b.isWatcher && a.fedUntil == b.fedUntil && a.newest == b.newest;
+        return a.isWatcher == b.isWatcher && a.fedUntil == b.fedUntil && a.newest == b.newest
+            && a.unfedKinds == b.unfedKinds;
     }
 };
 
--- a/include/galenarock/watchfeed.h
+++ b/include/galenarock/watchfeed.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -133,6 +134,10 @@
     /// Highest revisions of any watcher in this era.
     std::map<std::string, std::uint64_t> m_newest;
     Instant m_heardUntil{};
+    /// Of each kind that a watcher has stated. Only a part of the fleet may watch a kind.
+    std::map<std::string, Instant> m_kindHeardUntil;
+    /// Kinds that this daemon watches, and has read in this era.
+    std::set<std::string> m_ownKinds;
     Instant m_nextStatusAt{};
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -165,12 +165,23 @@
      applyNumber<&Settings::maxGrantDurationMs, 100, dayMs>},
     {{"cpu-share", "CORES", "1", false, "gateway: processor time that this VM may use; large VMs lead first"},
      applyAmount<&Settings::cpuShare>},
+    {{"evacuation-ms", "MS", "0", false, "gateway: bound for the evacuation of a failure domain; 0 or empty is off"},
+     applyNumber<&Settings::evacuationMs, 0, dayMs>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
     {{"check", "", "", false, "check the settings and exit"}, applyMode<SettingsMode::Check>},
 };
 
+/// Settings whose value may be empty, which leaves the default: the platform fills in bounds that not every deployment
+/// has.
+constexpr std::string_view MayBeEmpty[] = {"evacuation-ms"};
+
+bool mayBeEmpty(std::string_view name)
+{
+    return std::find(std::begin(MayBeEmpty), std::end(MayBeEmpty), name) != std::end(MayBeEmpty);
+}
+
 std::string variableName(std::string_view name)
 {
     std::string variable(variablePrefix);
@@ -234,6 +245,7 @@
     /// The library stops at the first syntax error; the faulty argument is taken out and the rest is parsed again.
     void readArguments(std::vector<std::string> arguments)
     {
+        readEmptyValues(arguments);
         const auto description = optionsDescription();
         const int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
         while (true) {
@@ -254,6 +266,19 @@
         }
     }
 
+    /// The library takes an empty value for a syntax error.
+    void readEmptyValues(std::vector<std::string> &arguments)
+    {
+        for (const auto name : MayBeEmpty) {
+            const auto flag = fmt::format("--{}=", name);
+            const auto it = std::find(arguments.begin(), arguments.end(), flag);
+            if (it != arguments.end()) {
+                m_flags.emplace(name, Given{fmt::format("--{}", name), {}});
+                arguments.erase(it);
+            }
+        }
+    }
+
     static bool removeArgument(std::vector<std::string> &arguments, const std::string &flag)
     {
         const auto isFaulty = [&](const std::string &it) {
@@ -329,7 +354,7 @@
             return;
         }
         // A key flag overrides a key file from the environment, and the other way round.
-        if (isOverriddenKey(row.info.name)) {
+        if (isOverriddenKey(row.info.name) || (given->value.empty() && mayBeEmpty(row.info.name))) {
             return;
         }
         auto message = row.apply(m_result.settings, given->value);
--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -2,7 +2,7 @@
 
 #include <galenarock/eventlog.h>
 
-/// Log events of the gateway, numbers 120 to 135. Documented in docs/events.md.
+/// Log events of the gateway, numbers 120 to 137. Documented in docs/events.md.
 namespace Galenarock::Events
 {
 
@@ -21,6 +21,8 @@
 inline constexpr EventType ServerLeaving{133, Severity::Info, "server-leaving"};
 inline constexpr EventType PeerKeyChanged{134, Severity::Warning, "peer-key-changed"};
 inline constexpr EventType UnknownValues{135, Severity::Warning, "configuration-unknown-values"};
+inline constexpr EventType EvacuationStarted{136, Severity::Warning, "evacuation-started"};
+inline constexpr EventType EvacuationEnded{137, Severity::Info, "evacuation-ended"};
 inline constexpr EventType ReloadIgnored{128, Severity::Info, "reload-ignored"};
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,6 +98,7 @@
 
     /// Values of the active configuration that this build does not know.
     std::atomic<std::size_t> m_unknownValues{0};
+    std::atomic<std::size_t> m_evacuatedDomains{0};
     /// The open peer transport, for threads other than the control thread; null before.
     std::atomic<PeerTransport *> m_openPeers{nullptr};
     std::mutex m_membersMutex;
@@ -156,6 +157,9 @@
     hooks.unknownValuesChanged = [this](std::size_t n) {
         m_unknownValues.store(n);
     };
+    hooks.evacuationsChanged = [this](std::size_t n) {
+        m_evacuatedDomains.store(n);
+    };
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
         shared.suspects().bootSeen(MonotonicClock::now(), server, boot);
     };
@@ -278,6 +282,9 @@
     });
     store->setWatch(dialect.configuration.kind, true);
     store->setWatch(dialect.serverKind, true);
+    if (settings.evacuationMs > 0 && !dialect.evacuationKind.empty()) {
+        store->setWatch(dialect.evacuationKind, true);
+    }
 }
 
 /// Empty, with a line in the log, when the text is not a key.
@@ -364,6 +371,7 @@
     controlPlaneSettings.retryPercent = settings.retryPercent;
     controlPlaneSettings.maxGrantDuration = milliseconds(settings.maxGrantDurationMs);
     controlPlaneSettings.cpuPercent = static_cast<std::uint16_t>(std::clamp(settings.cpuShare * 100, 1.0, 65'535.0));
+    controlPlaneSettings.evacuationBound = milliseconds(settings.evacuationMs);
     openStore();
     controlPlane = std::make_unique<GatewayControlPlane>(controlPlaneSettings, dialect, makeHooks());
     BOOST_LEAF_CHECK(readiness.listen(settings.readiness.address, settings.readiness.port));
@@ -414,6 +422,8 @@
     metrics.gauge("galenarock_live_daemons", "", [this] { return static_cast<double>(shared.liveDaemons()); });
     metrics.gauge("galenarock_configuration_unknown_values", "",
                   [this] { return static_cast<double>(m_unknownValues.load()); });
+    metrics.gauge("galenarock_evacuated_domains", "",
+                  [this] { return static_cast<double>(m_evacuatedDomains.load()); });
     metrics.gauge("galenarock_crash_suspects", "", [this] { return static_cast<double>(shared.suspects().size()); });
     metrics.gauge("galenarock_log_lines_dropped", "", [] { return static_cast<double>(droppedLogLines()); });
     metrics.gauge("galenarock_proxy_cpu_seconds", "", [this] { return proxy.cpuSeconds(); });
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -71,6 +71,7 @@
     , m_membership(membershipSettings(m_settings, {}))
     , m_features(m_settings.self, ownBuild())
     , m_feed(m_settings.self, WatchFeedSettings())
+    , m_evacuations(m_dialect.evacuationKind.empty() ? Duration::zero() : m_settings.evacuationBound)
     , m_serviceRoutes(m_settings.retryPercent)
     , m_status(std::make_shared<const GatewayStatus>())
     , m_peerKeyCheck(m_settings.seed)
@@ -100,6 +101,9 @@
             m_areServersKnown = true;
             serversChanged();
         }
+        if (synced->kind == m_dialect.evacuationKind && m_evacuations.synced()) {
+            evacuationsChanged();
+        }
         return;
     } else if (const auto *peer = std::get_if<PeerEvent>(&event)) {
         if (peer->type >= PeerMessageRange::Requests) {
@@ -138,6 +142,9 @@
     if (m_servers.update(now, m_hooks.isStoreReachable())) {
         serversChanged();
     }
+    if (m_evacuations.update(now)) {
+        evacuationsChanged();
+    }
     joinFleet(now);
     checkPeerKey(now);
     carryOut(m_features.tick(now));
@@ -157,6 +164,8 @@
         adoptServer(now, object);
     } else if (object.key.kind == ObjectKind::Daemon) {
         adoptDaemon(object);
+    } else if (m_evacuations.isOn() && object.key.kind == m_dialect.evacuationKind) {
+        adoptEvacuation(now, object.key.name);
     } else if (object.key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
         onPeerKeyStored(object);
     }
@@ -167,6 +176,9 @@
     if (key == ObjectKey{ObjectKind::Fleet, PeerKeyName}) {
         m_isPeerKeyWritten = false; // joinFleet() writes it
     }
+    if (m_evacuations.isOn() && key.kind == m_dialect.evacuationKind) {
+        endEvacuation(key.name);
+    }
     if (key.kind != m_dialect.serverKind) {
         return;
     }
@@ -271,6 +283,32 @@
     serversChanged();
 }
 
+void GatewayControlPlane::adoptEvacuation(Instant now, const std::string &domain)
+{
+    if (m_evacuations.begin(now, domain)) {
+        logEvent(Events::EvacuationStarted, "no requests go to servers in {} any more; their keys move", domain);
+        evacuationsChanged();
+    }
+}
+
+void GatewayControlPlane::endEvacuation(const std::string &domain)
+{
+    if (m_evacuations.end(domain)) {
+        logEvent(Events::EvacuationEnded, "requests may go to servers in {} again", domain);
+        evacuationsChanged();
+    }
+}
+
+/// All services are affected: a failure domain has servers of each.
+void GatewayControlPlane::evacuationsChanged()
+{
+    const auto domains = m_evacuations.domains();
+    m_hooks.evacuationsChanged(domains.size());
+    m_serviceRoutes.setEvacuations(domains, m_evacuations.closedDomains());
+    m_leaseServerRevisions.clear();
+    serversChanged();
+}
+
 void GatewayControlPlane::serversChanged()
 {
     m_isSnapshotOutdated = true;
@@ -286,7 +324,7 @@
     for (auto &[service, controller] : m_leases) {
         const auto revision = m_servers.revision(service);
         if (std::exchange(m_leaseServerRevisions[service], revision) != revision) {
-            carryOut(controller.setServers(now, m_servers.leaseServers(service)));
+            carryOut(controller.setServers(now, m_evacuations.mark(m_servers.leaseServers(service))));
         }
     }
 }
@@ -309,7 +347,7 @@
         carryOut(controller.step(now, MembersEvent{m_members}));
         carryOut(controller.step(now, StoreEraEvent{m_storeEra}));
         m_leaseServerRevisions[it.name] = m_servers.revision(it.name);
-        carryOut(controller.setServers(now, m_servers.leaseServers(it.name)));
+        carryOut(controller.setServers(now, m_evacuations.mark(m_servers.leaseServers(it.name))));
     }
 }
 
@@ -460,7 +498,7 @@
 
 void GatewayControlPlane::stepLeases(Instant now, const ControlEvent &event)
 {
-    if (!m_areServersKnown) {
+    if (!m_areServersKnown || !m_evacuations.isKnown()) {
         return;
     }
     updateLeaseServers(now);
@@ -648,7 +686,7 @@
 void GatewayControlPlane::endBatch(Instant now)
 {
     applyChanges(now);
-    if (m_isSnapshotOutdated && m_serviceRoutes.configuration()) {
+    if (m_isSnapshotOutdated && m_serviceRoutes.configuration() && m_evacuations.isKnown()) {
         m_isSnapshotOutdated = false;
         m_snapshot = m_serviceRoutes.build(now, m_servers);
         m_hooks.snapshotChanged(m_snapshot);
@@ -696,6 +734,9 @@
                            {"servers", m_servers.size()},
                            {"daemons", m_members.size()},
                            {"leases", std::move(leases)}};
+    if (m_evacuations.isOn()) {
+        summary["evacuated"] = m_evacuations.domains();
+    }
     if (!m_builds) {
         m_builds = std::make_shared<const nlohmann::json>(builds());
     }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -13,6 +13,7 @@
 #include <galenarock/watchfeed.h>
 
 #include "daemon/decisionlog_p.h"
+#include "evacuations_p.h"
 #include "peerkey_p.h"
 #include "serverdirectory_p.h"
 #include "serviceroutes_p.h"
@@ -34,6 +35,8 @@
     std::function<void(const std::shared_ptr<const RoutingSnapshot> &)> snapshotChanged;
     /// Number of values of the active configuration that this build does not know.
     std::function<void(std::size_t)> unknownValuesChanged;
+    /// Number of failure domains that are being evacuated.
+    std::function<void(std::size_t)> evacuationsChanged;
     std::function<void(const std::string &server, std::uint64_t boot)> bootSeen;
     /// A process that had announced its end is gone.
     std::function<void(const Identity &server)> stoppedAsPlanned;
@@ -78,6 +81,8 @@
     /// Longest grant duration that servers accept; 0 for no limit.
     Duration maxGrantDuration{};
     std::uint16_t cpuPercent = 100;
+    /// Bound for the evacuation of a failure domain; zero when evacuations are off.
+    Duration evacuationBound{};
 };
 
 /// Control plane of one gateway daemon: passes events to membership and leases, and publishes routing snapshots. Used
@@ -92,7 +97,7 @@
     void endBatch(Instant now);
 
     /// Thread-safe. True if a routing snapshot is published, servers are registered, each keyed service has a lease
-    /// table with owners, and the daemon is not stopping.
+    /// table with owners, the evacuations are known, and the daemon is not stopping.
     bool isReady() const
     {
         return m_isReady.load(std::memory_order_acquire);
@@ -125,6 +130,9 @@
     void changePeerKey(const SharedPeerKey &stored);
     void joinFleet(Instant now);
     void writeDaemonEntry(std::uint64_t version);
+    void adoptEvacuation(Instant now, const std::string &domain);
+    void endEvacuation(const std::string &domain);
+    void evacuationsChanged();
     void serversChanged();
     void updateLeaseServers(Instant now);
     void applyChanges(Instant now);
@@ -154,6 +162,7 @@
     WatchFeedView m_feedView;
     VmList m_daemons;
     ServerDirectory m_servers;
+    Evacuations m_evacuations;
     ServiceRoutes m_serviceRoutes;
     std::map<std::string, LeaseController> m_leases;
     /// ServerDirectory::revision() of the servers that each lease controller knows.
--- a/src/gateway/serviceroutes.cpp
+++ b/src/gateway/serviceroutes.cpp
@@ -29,6 +29,24 @@
     }
 }
 
+void ServiceRoutes::setEvacuations(std::vector<std::string> evacuated, std::vector<std::string> closed)
+{
+    m_evacuated = std::move(evacuated);
+    m_closed = std::move(closed);
+    for (auto &[name, it] : m_services) {
+        it.isOutdated = true;
+    }
+}
+
+std::vector<std::string> ServiceRoutes::closedDomains(const ServiceRule &rule, const Service &service) const
+{
+    const bool hasOther = std::any_of(service.servers.begin(), service.servers.end(), [&](const VmEntry &it) {
+        const bool isUsable = it.state != VmState::Leaving && !it.address.empty();
+        return isUsable && std::find(m_evacuated.begin(), m_evacuated.end(), it.failureDomain) == m_evacuated.end();
+    });
+    return rule.isKeyed && hasOther ? m_closed : m_evacuated;
+}
+
 ServiceDocument ServiceRoutes::documentOf(const ServiceRule &rule, const std::vector<VmEntry> &servers) const
 {
     ServiceDocument document;
@@ -57,7 +75,11 @@
     service.isOutdated = false;
     service.document = documentOf(rule, service.servers);
     const auto table = m_tables.find(rule.name);
-    const ServiceInput input{service.document, service.servers, table == m_tables.end() ? nullptr : &table->second, {}};
+    const ServiceInput input{service.document,
+                             service.servers,
+                             table == m_tables.end() ? nullptr : &table->second,
+                             {},
+                             closedDomains(rule, service)};
     service.route = ServiceRoute::build(input, now, service.route.get());
     ++m_builtRoutes;
 }
--- a/src/gateway/serviceroutes_p.h
+++ b/src/gateway/serviceroutes_p.h
@@ -32,6 +32,9 @@
     }
     /// Sets the lease table of a keyed service, which may become part of the configuration later.
     void setTable(const Assignment &table);
+    /// Failure domains to whose servers no request goes: `evacuated` for balanced services and for those without any
+    /// other server, `closed`, a part of them, for the others.
+    void setEvacuations(std::vector<std::string> evacuated, std::vector<std::string> closed);
     /// Must not be called before setConfiguration().
     std::shared_ptr<const RoutingSnapshot> build(Instant now, const ServerDirectory &servers);
 
@@ -51,12 +54,15 @@
         std::shared_ptr<const ServiceRoute> route;
     };
     ServiceDocument documentOf(const ServiceRule &rule, const std::vector<VmEntry> &servers) const;
+    std::vector<std::string> closedDomains(const ServiceRule &rule, const Service &service) const;
     void refresh(Instant now, const ServiceRule &rule, const ServerDirectory &directory, Service &service);
 
     double m_retryPercent;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, Assignment> m_tables;
     std::map<std::string, Service> m_services;
+    std::vector<std::string> m_evacuated;
+    std::vector<std::string> m_closed;
     std::uint64_t m_builtRoutes = 0;
 };
 
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <optional>
+#include <set>
 
 #include <galenarock/leases.h>
 
@@ -51,6 +52,10 @@
 /// traffic are also divided evenly.
 constexpr double IdleLoadPerThousandth = 0.02;
 
+/// A plan moves at least one in this many of the ranges that evacuated servers still have, so that a few plans, well
+/// within the bound of an evacuation, move all of them.
+constexpr std::size_t EvacuationDivisor = 3;
+
 /// Width of the range as a share of the key space.
 double widthShare(const SliceRange &range)
 {
@@ -94,7 +99,7 @@
         , m_maxMoves(std::min(limits.maxBalancingMoves, std::max(MinMoveLimit, servers.size() / ServersPerMove)))
     {
         for (const auto &it : servers) {
-            if (it.leaving) {
+            if (it.leaving || it.evacuated) {
                 continue;
             }
             m_servers.push_back({&it, capacity(it), 0});
@@ -104,6 +109,7 @@
                 server->load += loadOf(it.range);
             }
         }
+        holdBackEvacuated(servers);
     }
 
     std::vector<LeaseMove> plan()
@@ -129,6 +135,55 @@
     }
 
 private:
+    /// Leaves the hottest ranges of evacuated servers, hottest first, to this plan, and the others to later ones: as
+    /// many as the limit of moves and the room of the other servers allow, but at least a part of them.
+    void holdBackEvacuated(const std::vector<LeaseServer> &servers)
+    {
+        std::set<Identity> evacuated;
+        for (const auto &it : servers) {
+            if (it.evacuated) {
+                evacuated.insert(it.identity);
+            }
+        }
+        if (evacuated.empty()) {
+            return;
+        }
+        std::vector<std::pair<double, PlannedSlice>> waiting;
+        std::size_t moving = 0;
+        for (const auto &it : m_slices) {
+            const bool isHeld = evacuated.count(it.holder) > 0;
+            moving += isHeld && it.isBusy ? 1 : 0;
+            if (isHeld && !it.isBusy) {
+                waiting.emplace_back(loadOf(it.range), it);
+            }
+        }
+        std::stable_sort(waiting.begin(), waiting.end(),
+                         [](const auto &a, const auto &b) { return a.first > b.first; });
+        m_slices.erase(
+            std::remove_if(m_slices.begin(), m_slices.end(),
+                           [&](const PlannedSlice &it) { return !it.isBusy && evacuated.count(it.holder) > 0; }),
+            m_slices.end());
+        const auto least = (waiting.size() + EvacuationDivisor - 1) / EvacuationDivisor;
+        const auto most = m_maxMoves - std::min(m_maxMoves, moving);
+        double room = spareCapacity();
+        for (std::size_t n = 0; n < waiting.size(); ++n) {
+            auto &[load, slice] = waiting[n];
+            room -= load;
+            slice.isBusy = n >= least && (n >= most || room < 0);
+            m_slices.push_back(slice);
+        }
+    }
+
+    /// Requests per second that the servers can take over.
+    double spareCapacity() const
+    {
+        double sum = 0;
+        for (const auto &it : m_servers) {
+            sum += std::max(0.0, MaxTargetUtilization * it.capacity - it.load);
+        }
+        return sum;
+    }
+
     /// Requests per second that the server can answer, or takes if it states a lower rate.
     double capacity(const LeaseServer &server) const
     {
--- a/src/objectstore/feedlag_p.h
+++ b/src/objectstore/feedlag_p.h
@@ -18,7 +18,7 @@
     bool keepsUp(Instant now, const WatchFeedView &view, const std::string &kind, std::uint64_t revision,
                  Duration grace)
     {
-        if (now >= view.fedUntil) {
+        if (now >= view.fedUntil || view.unfedKinds.count(kind) > 0) {
             m_behindSince.reset();
             return false;
         }
--- a/src/objectstore/watchfeed.cpp
+++ b/src/objectstore/watchfeed.cpp
@@ -240,6 +240,8 @@
     m_era = era;
     m_newest.clear();
     m_heardUntil = {};
+    m_kindHeardUntil.clear();
+    m_ownKinds.clear();
 }
 
 void WatchFeed::raise(const std::string &kind, std::uint64_t revision)
@@ -251,6 +253,7 @@
 void WatchFeed::synced(const std::string &kind, std::uint64_t revision)
 {
     raise(kind, revision);
+    m_ownKinds.insert(kind);
 }
 
 ControlActions WatchFeed::tick(Instant now, bool isStoreReachable)
@@ -293,14 +296,25 @@
     for (const auto &[kind, revision] : status.revisions) {
         raise(kind, revision);
     }
-    if (status.isStoreReachable && !m_isWatcher) {
-        m_heardUntil = now + m_settings.silence;
+    if (!status.isStoreReachable || m_isWatcher) {
+        return;
+    }
+    m_heardUntil = now + m_settings.silence;
+    for (const auto &[kind, revision] : status.revisions) {
+        m_kindHeardUntil[kind] = m_heardUntil;
     }
 }
 
 WatchFeedView WatchFeed::view(Instant now) const
 {
-    return {isSettled(now), m_isWatcher ? Instant() : m_heardUntil, m_newest};
+    WatchFeedView view{isSettled(now), m_isWatcher ? Instant() : m_heardUntil, m_newest};
+    for (const auto &it : m_ownKinds) {
+        const auto heard = m_kindHeardUntil.find(it);
+        if (heard == m_kindHeardUntil.end() || now >= heard->second) {
+            view.unfedKinds.insert(it);
+        }
+    }
+    return view;
 }
 
 }
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -28,6 +28,8 @@
 constexpr Duration KeyLoadInterval = milliseconds(250);
 constexpr std::size_t MaxUnownedPositions = 4'096;
 constexpr Duration NotableAge = milliseconds(400);
+/// Retry-after time while all servers of a service are evacuated; the operator ends that.
+constexpr std::int64_t EvacuatedRetryMs = 1'000;
 
 bool isListed(std::string_view list, std::string_view name)
 {
@@ -216,6 +218,10 @@
     traffic.refresh(m_now, m_shared.snapshot(), m_shared.liveWorkers());
     const auto owner = traffic.choose(m_now, *request, {&m_shared.serverLimits(), &m_shared.serverPauses()});
     const bool isKeyed = traffic.route->document().distribution == Distribution::Keyed;
+    if (owner.reason == Reason::Evacuated) {
+        refuse(request, routedRefusal(*request, {owner.reason, Outcome::NotRun, {}, EvacuatedRetryMs}));
+        return;
+    }
     if (isKeyed && owner.reason != Reason::None) {
         waitForOwner(request, owner.reason);
         return;
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -94,6 +94,9 @@
     if (route->document().distribution == Distribution::Keyed) {
         return route->owner(request.hash, now);
     }
+    if (route->isEvacuated()) {
+        return {noServer, Token{}, Reason::Evacuated};
+    }
     const auto &tried = request.plan->triedServers();
     const auto chooseFrom = [&](const std::vector<ServerView> &views) {
         return chooseServer(m_policy, views, tried, m_random(), targetDelaySeconds(request));
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -61,8 +61,10 @@
     ReasonInfo{Reason::ServersUnreachable, "servers-unreachable", 503, NotRun,
                "no VM that could be asked reaches the servers"},
     ReasonInfo{Reason::InternalError, "internal-error", 500, Unknown, "internal error"},
+    ReasonInfo{Reason::Evacuated, "evacuated", 503, NotRun,
+               "all servers of the service are in failure domains that are being evacuated"},
 };
-static_assert(ReasonTable.size() == static_cast<std::size_t>(Reason::InternalError) + 1);
+static_assert(ReasonTable.size() == static_cast<std::size_t>(Reason::Evacuated) + 1);
 }
 
 const ReasonInfo &reasonInfo(Reason reason)
--- a/src/routing/snapshot.cpp
+++ b/src/routing/snapshot.cpp
@@ -54,6 +54,7 @@
         server.address = vm->address;
         server.failureDomain = vm->failureDomain;
         server.isDraining = server.isDraining || vm->state == VmState::Leaving;
+        server.isEvacuated = containsName(input.closedDomains, vm->failureDomain);
     }
     if (server.isDraining) {
         server.drainingSince = drainingSince(previous, server, now);
@@ -96,6 +97,22 @@
     return servers;
 }
 
+/// Whether no server of the service is left outside the closed failure domains.
+bool isFullyClosed(const ServiceInput &input)
+{
+    bool hasClosed = false;
+    for (const auto &it : input.servers) {
+        if (!isServerOf(input, it) || it.state == VmState::Leaving || it.address.empty()) {
+            continue;
+        }
+        if (!containsName(input.closedDomains, it.failureDomain)) {
+            return false;
+        }
+        hasClosed = true;
+    }
+    return hasClosed;
+}
+
 std::uint32_t countDaemons(const VmList &list)
 {
     const auto n = std::count_if(list.vms.begin(), list.vms.end(), [](const VmEntry &it) {
@@ -133,12 +150,15 @@
         return {};
     }
     const Token token{m_epoch, slice->sequence};
+    if (m_isEvacuated) {
+        return {noServer, token, Reason::Evacuated};
+    }
     if (slice->server == noServer) {
         return {noServer, token, Reason::OwnerUnavailable};
     }
     const auto &server = servers()[slice->server];
     const bool isHandoverOver = server.isDraining && now - server.drainingSince >= drainHandoverPeriod;
-    if (server.address.empty() || isHandoverOver) {
+    if (server.address.empty() || isHandoverOver || server.isEvacuated) {
         return {noServer, token, Reason::OwnerUnavailable};
     }
     return {slice->server, token, Reason::None};
@@ -159,6 +179,7 @@
 {
     auto route = std::make_shared<ServiceRoute>();
     route->m_document = input.document;
+    route->m_isEvacuated = !input.closedDomains.empty() && isFullyClosed(input);
     const auto *assignment = input.assignment;
     std::vector<RoutedServer> servers;
     if (input.document.distribution == Distribution::Balanced) {
@@ -194,7 +215,8 @@
 {
     std::vector<std::shared_ptr<const ServiceRoute>> services;
     for (const auto &it : input.documents) {
-        const ServiceInput service{it, input.vms.vms, newestAssignment(input.assignments, it.service), input.draining};
+        const ServiceInput service{it, input.vms.vms, newestAssignment(input.assignments, it.service), input.draining,
+                                   input.closedDomains};
         services.push_back(ServiceRoute::build(service, now, previous ? previous->find(it.service) : nullptr));
     }
     return std::make_shared<const RoutingSnapshot>(std::move(services), input.routes, countDaemons(input.vms));
