Test the evacuation of failure domains

Cause: the parts of an evacuation had no tests.

WorkerTest takes failure domains and closed ones, LeaseSimulation evacuated servers, and PlaneTest has the new hook.

--- a/src/base/tests/settingstest.cpp
+++ b/src/base/tests/settingstest.cpp
@@ -118,3 +118,21 @@
         EXPECT_FALSE(parseEndpoint(it)) << it;
     }
 }
+
+// The platform fills in the bound, which not every deployment has. Guards against a gateway that does not start without
+// it, and against an empty value that passes for another setting.
+TEST(Settings, emptyEvacuationBoundIsOff)
+{
+    auto flags = goodFlags();
+    flags.push_back("--evacuation-ms=");
+    const auto empty = parseSettings(flags, {});
+    EXPECT_EQ(toString(empty.findings), "");
+    EXPECT_EQ(empty.settings.evacuationMs, 0);
+    flags.back() = "--evacuation-ms=5000";
+    EXPECT_EQ(parseSettings(flags, {}).settings.evacuationMs, 5'000);
+    flags.back() = "--evacuation-ms=-1";
+    EXPECT_FALSE(parseSettings(flags, {}).findings.empty());
+    EXPECT_EQ(toString(parseSettings(goodFlags(), {{"GALENAROCK_EVACUATION_MS", ""}}).findings), "");
+    flags.back() = "--workers=";
+    EXPECT_FALSE(parseSettings(flags, {}).findings.empty());
+}
--- a/src/gateway/tests/planetest.cpp
+++ b/src/gateway/tests/planetest.cpp
@@ -156,6 +156,8 @@
         };
         hooks.unknownValuesChanged = [](std::size_t) {
         };
+        hooks.evacuationsChanged = [](std::size_t) {
+        };
         hooks.bootSeen = [](const std::string &, std::uint64_t) {
         };
         hooks.stoppedAsPlanned = [](const Identity &) {
--- a/src/gateway/tests/serviceroutestest.cpp
+++ b/src/gateway/tests/serviceroutestest.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "gateway/serviceroutes_p.h"
 
 using namespace Galenarock;
@@ -11,10 +13,11 @@
     return Instant(seconds(100) + milliseconds(ms));
 }
 
-ServerEntry entry(const std::string &service, int number, bool isDraining = false)
+ServerEntry entry(const std::string &service, int number, bool isDraining = false,
+                  const std::string &failureDomain = "rioja")
 {
     const auto name = service + "-" + std::to_string(number);
-    return {{name, 5}, service, "10.0.0.1:80", "rioja", 4, isDraining, 0};
+    return {{name, 5}, service, "10.0.0.1:80", failureDomain, 4, isDraining, 0};
 }
 
 std::shared_ptr<const RouteTable> routesOf(std::uint32_t connections)
@@ -126,3 +129,48 @@
     early.setConfiguration(routesOf(10));
     EXPECT_EQ(early.build(at(0), servers)->find("shop")->sliceCount(), 2U);
 }
+
+namespace
+{
+std::size_t usableServers(const RoutingSnapshot &snapshot, std::string_view service)
+{
+    const auto &servers = snapshot.find(service)->servers();
+    return static_cast<std::size_t>(
+        std::count_if(servers.begin(), servers.end(), [](const RoutedServer &it) { return it.acceptsWork(); }));
+}
+}
+
+// Guards against requests to an evacuated domain: of a balanced service at once, of a keyed one from the closing on.
+// Until then its ranges are served where they are.
+TEST_F(ServiceRoutesTest, ServersOfAnEvacuatedDomainGetNoRequests)
+{
+    servers.put(at(0), entry("orders", 3, false, "navarra"));
+    servers.put(at(0), entry("shop", 1, false, "navarra"));
+    routes.setEvacuations({"navarra"}, {});
+    auto snapshot = routes.build(at(0), servers);
+    EXPECT_EQ(usableServers(*snapshot, "orders"), 19U);
+    EXPECT_EQ(snapshot->find("shop")->owner(100, at(0)).reason, Reason::None);
+    routes.setEvacuations({"navarra"}, {"navarra"});
+    snapshot = routes.build(at(3'000), servers);
+    EXPECT_EQ(snapshot->find("shop")->owner(100, at(3'000)).reason, Reason::OwnerUnavailable);
+    EXPECT_EQ(snapshot->find("shop")->owner(99, at(3'000)).reason, Reason::None);
+    EXPECT_FALSE(snapshot->find("shop")->isEvacuated());
+    routes.setEvacuations({}, {});
+    snapshot = routes.build(at(9'000), servers);
+    EXPECT_EQ(usableServers(*snapshot, "orders"), 20U);
+    EXPECT_EQ(snapshot->find("shop")->owner(100, at(9'000)).reason, Reason::None);
+}
+
+// Guards against requests of a keyed service that wait for a move which cannot happen, since no other domain is left.
+// A server that leaves is none to which keys could move.
+TEST_F(ServiceRoutesTest, ServiceWithoutAnyOtherServerIsClosedAtOnce)
+{
+    servers.put(at(0), entry("orders", 3, true, "navarra"));
+    servers.put(at(0), entry("shop", 3, true, "navarra"));
+    routes.setEvacuations({"rioja"}, {});
+    const auto snapshot = routes.build(at(0), servers);
+    EXPECT_TRUE(snapshot->find("orders")->isEvacuated());
+    EXPECT_EQ(usableServers(*snapshot, "orders"), 0U);
+    EXPECT_EQ(snapshot->find("shop")->owner(99, at(0)).reason, Reason::Evacuated);
+    EXPECT_EQ(snapshot->find("shop")->owner(100, at(0)).reason, Reason::Evacuated);
+}
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -183,6 +183,15 @@
     publishServers();
 }
 
+void LeaseSimulation::setEvacuated(const std::vector<std::size_t> &indexes, bool isEvacuated)
+{
+    for (const auto it : indexes) {
+        servers[it].entry.evacuated = isEvacuated;
+        servers[it].entry.leaving = isEvacuated;
+    }
+    publishServers();
+}
+
 void LeaseSimulation::setReaches(std::size_t index, bool reaches)
 {
     auto &daemon = daemons[index];
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -71,6 +71,8 @@
     void restartServerUnseen(std::size_t index);
     void publishRestart(std::size_t index);
     void setLeaving(std::size_t index);
+    /// Marks the servers as Evacuations::mark() does, or ends that.
+    void setEvacuated(const std::vector<std::size_t> &indexes, bool isEvacuated);
     /// Cuts a daemon from the store, the other daemons and all servers, or ends that.
     void setReaches(std::size_t daemon, bool reaches);
     void addServer();
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -1183,3 +1183,95 @@
                                          std::make_tuple(11372, true), std::make_tuple(19206, false)));
 INSTANTIATE_TEST_SUITE_P(RestoredStore, LeasesChaosTest,
                          testing::Combine(testing::Range(1, 101), testing::Values(true)));
+
+namespace
+{
+/// Time within which the ranges of an evacuated domain must have moved; then requests to the rest are refused.
+constexpr Duration EvacuationLimit = seconds(3);
+
+/// A service of 24 servers, eight of which are in the failure domain that is evacuated.
+const std::vector<std::size_t> EvacuatedServers{0, 1, 2, 3, 4, 5, 6, 7};
+
+std::size_t evacuatedSlices(const LeaseSimulation &simulation)
+{
+    const auto table = simulation.table();
+    std::size_t n = 0;
+    for (const auto &it : table.slices) {
+        const bool isOwned = it.owner != noServer;
+        n += isOwned && std::stoul(table.servers[it.owner].name.substr(2)) < EvacuatedServers.size() ? 1 : 0;
+    }
+    return n;
+}
+}
+
+// Guards against an evacuation that does not complete within its bound, or that leaves keys without a holder.
+TEST(LeasesTest, EvacuatedDomainHandsItsKeysOver)
+{
+    const auto simulation = stableSimulation(1, 24);
+    ASSERT_GT(evacuatedSlices(*simulation), 0U);
+    simulation->setEvacuated(EvacuatedServers, true);
+    simulation->run(EvacuationLimit);
+    EXPECT_EQ(evacuatedSlices(*simulation), 0U);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
+// Guards against servers that stay without keys after an evacuation.
+TEST(LeasesTest, KeysReturnAfterAnEvacuation)
+{
+    const auto simulation = stableSimulation(1, 24);
+    simulation->setEvacuated(EvacuatedServers, true);
+    simulation->run(EvacuationLimit);
+    simulation->setEvacuated(EvacuatedServers, false);
+    simulation->run(seconds(10));
+    EXPECT_GE(evacuatedSlices(*simulation), EvacuatedServers.size());
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
+// The leader is killed while the ranges move; its successor reads the same evacuation. Guards against an evacuation
+// that ends halfway, and against two holders.
+TEST(LeasesTest, SuccessorOfALostLeaderCompletesAnEvacuation)
+{
+    const auto simulation = stableSimulation(1, 24);
+    simulation->setEvacuated(EvacuatedServers, true);
+    simulation->run(milliseconds(150));
+    ASSERT_GT(evacuatedSlices(*simulation), 0U);
+    simulation->killDaemon(*simulation->leader());
+    simulation->run(seconds(25));
+    EXPECT_EQ(simulation->leaderCount(), 1U);
+    EXPECT_EQ(evacuatedSlices(*simulation), 0U);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
+// The domain loses power while it is evacuated: its servers answer no call, and their entries stay for now. Guards
+// against keys that wait for the release of a server that is gone.
+TEST(LeasesTest, EvacuatedDomainThatLosesPowerLosesItsKeys)
+{
+    const auto simulation = stableSimulation(1, 24);
+    simulation->setEvacuated(EvacuatedServers, true);
+    simulation->run(milliseconds(150));
+    for (const auto it : EvacuatedServers) {
+        simulation->crashServer(it, true);
+    }
+    simulation->run(seconds(5));
+    EXPECT_EQ(evacuatedSlices(*simulation), 0U);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+    EXPECT_EQ(simulation->violation, "");
+}
+
+// All domains are evacuated. Guards against a leader that takes the keys from their holders, and against keys that are
+// not served at once when one domain may be used again.
+TEST(LeasesTest, KeysStayWhenTheLastDomainIsEvacuated)
+{
+    const auto simulation = stableSimulation(1, 5);
+    const auto before = simulation->table();
+    for (auto &it : simulation->servers) {
+        it.entry.evacuated = true;
+    }
+    simulation->setEvacuated({}, true); // passes the changed entries on
+    simulation->run(seconds(5));
+    EXPECT_EQ(simulation->table().slices, before.slices);
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+}
--- a/src/leases/tests/planningtest.cpp
+++ b/src/leases/tests/planningtest.cpp
@@ -259,3 +259,102 @@
         EXPECT_LE(load, (isLimited ? 1.3 * rate : Capacity)) << server.name;
     }
 }
+
+namespace
+{
+void evacuate(Service &service, std::size_t first, std::size_t end)
+{
+    for (auto n = first; n < end; ++n) {
+        service.servers[n].evacuated = true;
+    }
+}
+
+std::vector<SliceRange> evacuatedRanges(const Service &service)
+{
+    std::vector<SliceRange> ranges;
+    for (const auto &slice : service.slices) {
+        const auto holder = std::find_if(service.servers.begin(), service.servers.end(),
+                                         [&](const LeaseServer &it) { return it.identity == slice.holder; });
+        if (holder != service.servers.end() && holder->evacuated) {
+            ranges.push_back(slice.range);
+        }
+    }
+    return ranges;
+}
+}
+
+// A third of 72 servers is evacuated. Guards against moving all their ranges at once, which interrupts a third of the
+// keys and loads the store, against hot ranges that wait for idle ones, and against ranges that are left at the bound.
+TEST(PlanningTest, RangesOfEvacuatedServersLeaveHottestFirst)
+{
+    Service service(72);
+    service.addAdjacentKeys(0, 65'536, 0.3 * 72 * Capacity);
+    for (std::size_t n = 0; n < 72; ++n) {
+        service.load.positions[service.slices[n].range.first] += static_cast<double>(n % 5);
+    }
+    evacuate(service, 0, 24);
+    service.plan();
+    const auto left = evacuatedRanges(service);
+    EXPECT_EQ(left.size(), 24U - 72 / 4);
+    for (const auto &it : left) {
+        EXPECT_EQ(service.load.positions.at(it.first) > 2, false) << "a hot range waits";
+    }
+    service.plan();
+    EXPECT_EQ(evacuatedRanges(service).size(), 0U);
+    EXPECT_LT(service.highestUtilization(), 1.0);
+}
+
+// A leader with few lease calls. Guards against an evacuation that the limit of moves stretches beyond its bound: plans
+// are 300 ms apart.
+TEST(PlanningTest, EvacuationIsCompleteInTimeWhateverTheLimit)
+{
+    Service service(200);
+    service.addAdjacentKeys(0, 65'536, 0.3 * 200 * Capacity);
+    service.limits.maxBalancingMoves = 1;
+    evacuate(service, 0, 60);
+    service.plan();
+    EXPECT_EQ(evacuatedRanges(service).size(), 40U);
+    for (int n = 0; n < 8; ++n) {
+        service.plan();
+    }
+    EXPECT_EQ(evacuatedRanges(service).size(), 0U);
+}
+
+// The other servers are busy already. Guards against moving more ranges at once than they can take over, as long as the
+// bound allows it.
+TEST(PlanningTest, EvacuationIsSlowerWithoutRoom)
+{
+    Service service(72);
+    service.addAdjacentKeys(0, 65'536, 0.84 * 72 * Capacity);
+    evacuate(service, 0, 24);
+    service.plan();
+    EXPECT_EQ(evacuatedRanges(service).size(), 16U);
+}
+
+// Guards against keys that are moved between servers none of which may get requests.
+TEST(PlanningTest, KeysStayWhenAllServersAreEvacuated)
+{
+    Service service(12);
+    service.addAdjacentKeys(0, 200, 3 * Capacity);
+    evacuate(service, 0, 12);
+    EXPECT_TRUE(planLeaseMoves(service.slices, service.servers, service.load, service.limits).empty());
+}
+
+// Guards against a server of an evacuated domain that gets a range because it has none, and against an end of an
+// evacuation after which all ranges return at once to servers that may be cold.
+TEST(PlanningTest, RangesReturnByTheOrdinaryPlanAfterAnEvacuation)
+{
+    Service service(72);
+    service.addAdjacentKeys(0, 65'536, 0.3 * 72 * Capacity);
+    evacuate(service, 0, 24);
+    for (int n = 0; n < 6; ++n) {
+        service.plan();
+    }
+    ASSERT_EQ(evacuatedRanges(service).size(), 0U);
+    for (auto &it : service.servers) {
+        it.evacuated = false;
+    }
+    const auto moves = planLeaseMoves(service.slices, service.servers, service.load, service.limits);
+    EXPECT_GT(moves.size(), 0U);
+    EXPECT_LE(moves.size(), 72U / 4);
+}
--- a/src/objectstore/tests/watchfeedtest.cpp
+++ b/src/objectstore/tests/watchfeedtest.cpp
@@ -427,3 +427,29 @@
         EXPECT_LE(fleet.calls() - before, 2 * 10 + 195 / 10) << seed;
     }
 }
+
+// Only a part of the fleet watches a kind, since the others have another setting or an earlier build. Guards against a
+// daemon that waits for changes of a kind which nobody passes on to it, and against calls for kinds that it is fed.
+TEST(WatchFeedTest, KindThatTheWatchersDoNotStateIsWatched)
+{
+    const auto members = fleetOf(20, 5);
+    auto feed = feedOf(members, 19);
+    ASSERT_FALSE(feed.isWatcher());
+    feed.synced("servers", 5);
+    feed.synced("evacuations", 3);
+    feed.receive(at(0), {1, true, {{"servers", 5}}});
+    const auto grace = milliseconds(150);
+    FeedLag servers;
+    FeedLag evacuations;
+    EXPECT_TRUE(servers.keepsUp(at(10), feed.view(at(10)), "servers", 5, grace));
+    EXPECT_FALSE(evacuations.keepsUp(at(10), feed.view(at(10)), "evacuations", 3, grace));
+    // One of the two daemons that feed it watches the kind.
+    feed.receive(at(100), {1, true, {{"servers", 5}, {"evacuations", 3}}});
+    feed.receive(at(110), {1, true, {{"servers", 5}}});
+    EXPECT_TRUE(evacuations.keepsUp(at(120), feed.view(at(120)), "evacuations", 3, grace));
+    feed.receive(at(650), {1, true, {{"servers", 5}}});
+    EXPECT_FALSE(evacuations.keepsUp(at(700), feed.view(at(700)), "evacuations", 3, grace));
+    EXPECT_TRUE(servers.keepsUp(at(700), feed.view(at(700)), "servers", 5, grace));
+    feed.setEra(2);
+    EXPECT_TRUE(feed.view(at(710)).unfedKinds.empty());
+}
--- a/src/proxy/tests/workerfixture.h
+++ b/src/proxy/tests/workerfixture.h
@@ -147,12 +147,14 @@
         assignment.nextSequence = 2;
         for (std::size_t n = 0; n < addresses.size(); ++n) {
             const auto name = fmt::format("shop-{}", n);
-            input.vms.vms.push_back({name, VmRole::Backend, "shop", "rioja", addresses[n], "", VmState::Live});
+            const auto domain = n < failureDomains.size() ? failureDomains[n] : "rioja";
+            input.vms.vms.push_back({name, VmRole::Backend, "shop", domain, addresses[n], "", VmState::Live});
             assignment.servers.push_back({name, 0});
         }
         assignment.slices = {{{0, ~KeyHash(0)}, hasOwner ? keyOwner : ServerIndex(noServer), 1, {}}};
         input.assignments.push_back(assignment);
         input.routes = std::make_shared<const RouteTable>(configuration);
+        input.closedDomains = closedDomains;
         return RoutingSnapshot::build(input, MonotonicClock::now());
     }
 
@@ -225,6 +227,9 @@
     std::uint64_t configurationVersion = 1;
     std::string routePrefix = "/a/";
     std::uint64_t maxBodyBytes = 64 << 20;
+    /// Of the addresses, by their order; "rioja" for the rest.
+    std::vector<std::string> failureDomains;
+    std::vector<std::string> closedDomains;
     Metrics metrics;
     ProxyShared shared{metrics, {"vm-1", 11}, PeerKey{}};
     Worker worker{shared};
