--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -52,8 +52,8 @@
 /// traffic are also divided evenly.
 constexpr double IdleLoadPerThousandth = 0.02;
 
-/// A plan moves at least one in this many of the ranges that evacuated servers still have, so that a few plans, well
-/// within the bound of an evacuation, move all of them.
+/// A plan moves at least one in this many of the ranges that evacuated servers still have, and at least MinMoveLimit:
+/// 200 ranges leave in 9 plans, 2.7 s, well within the bound of an evacuation of 5 s.
 constexpr std::size_t EvacuationDivisor = 3;
 
 /// Width of the range as a share of the key space.
@@ -148,22 +148,10 @@
         if (evacuated.empty()) {
             return;
         }
-        std::vector<std::pair<double, PlannedSlice>> waiting;
-        std::size_t moving = 0;
-        for (const auto &it : m_slices) {
-            const bool isHeld = evacuated.count(it.holder) > 0;
-            moving += isHeld && it.isBusy ? 1 : 0;
-            if (isHeld && !it.isBusy) {
-                waiting.emplace_back(loadOf(it.range), it);
-            }
-        }
-        std::stable_sort(waiting.begin(), waiting.end(),
-                         [](const auto &a, const auto &b) { return a.first > b.first; });
-        m_slices.erase(
-            std::remove_if(m_slices.begin(), m_slices.end(),
-                           [&](const PlannedSlice &it) { return !it.isBusy && evacuated.count(it.holder) > 0; }),
-            m_slices.end());
-        const auto least = (waiting.size() + EvacuationDivisor - 1) / EvacuationDivisor;
+        auto waiting = takeMovable(evacuated);
+        const auto moving = static_cast<std::size_t>(std::count_if(
+            m_slices.begin(), m_slices.end(), [&](const PlannedSlice &it) { return evacuated.count(it.holder) > 0; }));
+        const auto least = std::max(MinMoveLimit, (waiting.size() + EvacuationDivisor - 1) / EvacuationDivisor);
         const auto most = m_maxMoves - std::min(m_maxMoves, moving);
         double room = spareCapacity();
         for (std::size_t n = 0; n < waiting.size(); ++n) {
@@ -174,6 +162,23 @@
         }
     }
 
+    /// Takes the ranges of these servers that may move out of `m_slices`. Returns them with their loads, hottest first.
+    std::vector<std::pair<double, PlannedSlice>> takeMovable(const std::set<Identity> &holders)
+    {
+        std::vector<std::pair<double, PlannedSlice>> taken;
+        std::vector<PlannedSlice> others;
+        for (const auto &it : m_slices) {
+            if (it.isBusy || holders.count(it.holder) == 0) {
+                others.push_back(it);
+            } else {
+                taken.emplace_back(loadOf(it.range), it);
+            }
+        }
+        m_slices = std::move(others);
+        std::stable_sort(taken.begin(), taken.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+        return taken;
+    }
+
     /// Requests per second that the servers can take over.
     double spareCapacity() const
     {
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 #include "leasesimulation_p.h"
 
 using namespace Galenarock;
@@ -1275,3 +1277,22 @@
     EXPECT_EQ(simulation->table().slices, before.slices);
     EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
 }
+
+// A third of a larger service, whose leader can make few lease calls. Guards against an evacuation that the leader's
+// limits stretch beyond its bound.
+TEST(LeasesTest, EvacuationIsCompleteInTimeWithASlowLeader)
+{
+    LeaseSimulation simulation(1, 3, 72, 800);
+    simulation.run(seconds(6));
+    ASSERT_EQ(simulation.servedPositions(), positionCount(simulation));
+    std::vector<std::size_t> third(24);
+    std::iota(third.begin(), third.end(), 0);
+    simulation.setEvacuated(third, true);
+    simulation.run(EvacuationLimit);
+    const auto table = simulation.table();
+    for (const auto &it : table.slices) {
+        ASSERT_NE(it.owner, noServer);
+        EXPECT_GE(std::stoul(table.servers[it.owner].name.substr(2)), third.size());
+    }
+    EXPECT_EQ(simulation.violation, "");
+}
