--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -91,6 +91,9 @@
     /// service's ServiceRule::warmupPerSecond, and this many more. A multiple of 0 sets no bound.
     double warmupOvershoot = 0;
     double warmupSlack = 0;
+    /// Gateway: time within which no request is sent any more to a failure domain whose evacuation the store has
+    /// accepted; 0 for a platform without evacuations.
+    std::int64_t evacuationMs = 0;
     /// File for the event trace; empty for none.
     std::string trace;
 
@@ -102,7 +105,7 @@
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
             && a.cpuShare == b.cpuShare && a.warmupOvershoot == b.warmupOvershoot && a.warmupSlack == b.warmupSlack
-            && a.trace == b.trace;
+            && a.evacuationMs == b.evacuationMs && a.trace == b.trace;
     }
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -84,12 +84,6 @@
     return {};
 }
 
-/// Platforms without the value leave it empty.
-template<auto Member> std::string applyOptionalAmount(Settings &settings, const std::string &text)
-{
-    return text.empty() ? std::string() : applyAmount<Member>(settings, text);
-}
-
 std::string applyRetryRatio(Settings &settings, const std::string &text)
 {
     const auto message = applyAmount<&Settings::retryPercent>(settings, text);
@@ -172,15 +166,26 @@
     {{"cpu-share", "CORES", "1", false, "gateway: processor time that this VM may use; large VMs lead first"},
      applyAmount<&Settings::cpuShare>},
     {{"warmup-overshoot", "FACTOR", "0", false, "gateway: bound on requests to a cold server; empty or 0 for none"},
-     applyOptionalAmount<&Settings::warmupOvershoot>},
+     applyAmount<&Settings::warmupOvershoot>},
     {{"warmup-slack", "N", "0", false, "gateway: requests within a second beyond that bound"},
-     applyOptionalAmount<&Settings::warmupSlack>},
+     applyAmount<&Settings::warmupSlack>},
+    {{"evacuation-ms", "MS", "0", false, "gateway: bound for the evacuation of a failure domain; 0 or empty is off"},
+     applyNumber<&Settings::evacuationMs, 0, dayMs>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
     {{"check", "", "", false, "check the settings and exit"}, applyMode<SettingsMode::Check>},
 };
 
+/// Settings whose value may be empty, which leaves the default: the platform fills in bounds that not every deployment
+/// has.
+constexpr std::string_view MayBeEmpty[] = {"evacuation-ms", "warmup-overshoot", "warmup-slack"};
+
+bool mayBeEmpty(std::string_view name)
+{
+    return std::find(std::begin(MayBeEmpty), std::end(MayBeEmpty), name) != std::end(MayBeEmpty);
+}
+
 std::string variableName(std::string_view name)
 {
     std::string variable(variablePrefix);
@@ -244,7 +249,7 @@
     /// The library stops at the first syntax error; the faulty argument is taken out and the rest is parsed again.
     void readArguments(std::vector<std::string> arguments)
     {
-        takeEmptyAmounts(arguments);
+        readEmptyValues(arguments);
         const auto description = optionsDescription();
         const int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
         while (true) {
@@ -265,14 +270,14 @@
         }
     }
 
-    /// The library takes `--name=` for a syntax error.
-    void takeEmptyAmounts(std::vector<std::string> &arguments)
+    /// The library takes an empty value for a syntax error.
+    void readEmptyValues(std::vector<std::string> &arguments)
     {
-        for (const std::string name : {"warmup-overshoot", "warmup-slack"}) {
-            const auto flag = "--" + name;
-            const auto it = std::find(arguments.begin(), arguments.end(), flag + "=");
+        for (const auto name : MayBeEmpty) {
+            const auto flag = fmt::format("--{}=", name);
+            const auto it = std::find(arguments.begin(), arguments.end(), flag);
             if (it != arguments.end()) {
-                m_flags.emplace(name, Given{flag, ""});
+                m_flags.emplace(name, Given{fmt::format("--{}", name), {}});
                 arguments.erase(it);
             }
         }
@@ -353,7 +358,7 @@
             return;
         }
         // A key flag overrides a key file from the environment, and the other way round.
-        if (isOverriddenKey(row.info.name)) {
+        if (isOverriddenKey(row.info.name) || (given->value.empty() && mayBeEmpty(row.info.name))) {
             return;
         }
         auto message = row.apply(m_result.settings, given->value);
--- a/src/base/tests/settingstest.cpp
+++ b/src/base/tests/settingstest.cpp
@@ -137,3 +137,21 @@
     given.back() = "--warmup-slack=much";
     EXPECT_TRUE(hasFinding(parseSettings(given, {}).findings, ErrorCode::OutOfRange, "--warmup-slack"));
 }
+
+// The platform fills in the bound, which not every deployment has. Guards against a gateway that does not start without
+// it, and against an empty value that passes for another setting.
+TEST(Settings, emptyEvacuationBoundIsOff)
+{
+    auto flags = goodFlags();
+    flags.push_back("--evacuation-ms=");
+    const auto empty = parseSettings(flags, {});
+    EXPECT_EQ(toString(empty.findings), "");
+    EXPECT_EQ(empty.settings.evacuationMs, 0);
+    flags.back() = "--evacuation-ms=5000";
+    EXPECT_EQ(parseSettings(flags, {}).settings.evacuationMs, 5'000);
+    flags.back() = "--evacuation-ms=-1";
+    EXPECT_FALSE(parseSettings(flags, {}).findings.empty());
+    EXPECT_EQ(toString(parseSettings(goodFlags(), {{"GALENAROCK_EVACUATION_MS", ""}}).findings), "");
+    flags.back() = "--workers=";
+    EXPECT_FALSE(parseSettings(flags, {}).findings.empty());
+}
