Find the ends of a hot group

The outer positions of a group fill too little of their block for a rise there to be more than chance; their load was taken from the slow average, so the part with them was planned too large. A group now includes them.

--- a/src/leases/hotranges.cpp
+++ b/src/leases/hotranges.cpp
@@ -17,9 +17,11 @@
 /// Requests of a group in the short window from which it is hot: with fewer, its load would be estimated too badly for
 /// a division that lasts.
 constexpr double MinHotRequests = 16;
-/// Part of the short window that one request of a hot position makes up at least; positions below it at the ends of a
-/// group belong to the quiet load.
-constexpr double MinEdgeRequests = 0.2;
+/// Requests in the short window from which a position may be the end of a group; one request counts as this much for
+/// about 0.8 s.
+constexpr double MinActiveRequests = 0.2;
+/// A position this many mean distances away from the next is not in the group: by chance one in 150 would be.
+constexpr double FarDistances = 5;
 /// Time for which a group is found anew in each plan, since its ends and its start become clearer.
 constexpr double SettlingSeconds = 0.5;
 /// Length of the count from which older requests lose weight.
@@ -122,43 +124,88 @@
         block.longRate += load.longRate;
     }
     const auto isHot = [&](const std::pair<const KeyHash, Block> &it) {
-        return isBurst(it.second.shortRate, it.second.longRate) && !find(it.first)
-            && !find(it.first | (BlockWidth - 1));
+        return isBurst(it.second.shortRate, it.second.longRate)
+            && !overlapsGroup({it.first, it.first | (BlockWidth - 1)});
     };
-    for (auto it = blocks.begin(); it != blocks.end();) {
-        if (!isHot(*it)) {
-            m_quietRates[it->first] = it->second.longRate;
-            ++it;
+    std::vector<SliceRange> runs;
+    for (const auto &it : blocks) {
+        if (!isHot(it)) {
             continue;
         }
-        SliceRange range{it->first, it->first};
-        double quietRate = 0;
-        do {
-            range.last = it->first | (BlockWidth - 1);
-            quietRate += m_quietRates[it->first];
-            ++it;
-        } while (it != blocks.end() && it->first == range.last + 1 && isHot(*it));
-        add(now, range, quietRate, positions, minRangeWidth);
+        const SliceRange block{it.first, it.first | (BlockWidth - 1)};
+        if (!runs.empty() && runs.back().last + 1 == block.first) {
+            runs.back().last = block.last;
+        } else {
+            runs.push_back(block);
+        }
+    }
+    for (const auto &it : runs) {
+        add(now, withNeighbours(it), positions, minRangeWidth);
+    }
+    for (const auto &[first, it] : blocks) {
+        if (!overlapsGroup({first, first | (BlockWidth - 1)})) {
+            m_quietRates[first] = it.longRate;
+        }
     }
 }
 
-void HotRanges::add(Instant now, const SliceRange &blocks, double quietRate,
-                    const std::map<KeyHash, PositionLoad> &positions, KeyHash minRangeWidth)
+bool HotRanges::overlapsGroup(const SliceRange &range) const
 {
-    auto first = positions.lower_bound(blocks.first);
-    auto end = positions.upper_bound(blocks.last);
-    const auto isQuiet = [](const PositionLoad &it) {
-        return it.shortRate * ShortWindow < MinEdgeRequests;
-    };
-    while (first != end && isQuiet(first->second)) {
-        ++first;
+    return std::any_of(m_groups.begin(), m_groups.end(), [&](const Group &it) { return it.range.overlaps(range); });
+}
+
+/// The ends of a group may cover too little of their block for a rise there to be more than chance.
+SliceRange HotRanges::withNeighbours(const SliceRange &blocks) const
+{
+    auto range = blocks;
+    if (range.first != 0 && !overlapsGroup({range.first - BlockWidth, range.first - 1})) {
+        range.first -= BlockWidth;
     }
-    while (first != end && isQuiet(std::prev(end)->second)) {
-        --end;
+    if (range.last != ~KeyHash(0) && !overlapsGroup({range.last + 1, range.last + BlockWidth})) {
+        range.last += BlockWidth;
     }
+    return range;
+}
+
+/// The positions in `range` that belong to the group: those with recent requests, without the outermost ones as long as
+/// they are much farther from the next than the mean distance.
+SliceRange HotRanges::trimmed(const SliceRange &range, const std::map<KeyHash, PositionLoad> &positions)
+{
+    std::vector<KeyHash> active;
+    const auto end = positions.upper_bound(range.last);
+    for (auto it = positions.lower_bound(range.first); it != end; ++it) {
+        if (it->second.shortRate * ShortWindow >= MinActiveRequests) {
+            active.push_back(it->first);
+        }
+    }
+    std::size_t first = 0;
+    std::size_t last = active.empty() ? 0 : active.size() - 1;
+    const auto isFar = [&](std::size_t n) {
+        const auto distance = static_cast<double>(active[last] - active[first]) / static_cast<double>(last - first);
+        return static_cast<double>(active[n + 1] - active[n]) > FarDistances * distance;
+    };
+    for (bool isChanged = true; isChanged && last > first + 1;) {
+        isChanged = isFar(first) || isFar(last - 1);
+        first += isFar(first) ? 1 : 0;
+        last -= isChanged && last > first + 1 && isFar(last - 1) ? 1 : 0;
+    }
+    return active.empty() ? SliceRange{range.first, range.first} : SliceRange{active[first], active[last]};
+}
+
+void HotRanges::add(Instant now, const SliceRange &blocks, const std::map<KeyHash, PositionLoad> &positions,
+                    KeyHash minRangeWidth)
+{
     if (blocks.last - blocks.first >= MaxGroupWidth) {
         return;
     }
+    const auto range = trimmed(blocks, positions);
+    const auto first = positions.lower_bound(range.first);
+    const auto end = positions.upper_bound(range.last);
+    double quietRate = 0;
+    const auto quietEnd = m_quietRates.upper_bound(range.last);
+    for (auto it = m_quietRates.lower_bound(range.first & ~(BlockWidth - 1)); it != quietEnd; ++it) {
+        quietRate += it->second;
+    }
     double shortRate = 0;
     double longRate = 0;
     for (auto it = first; it != end; ++it) {
@@ -171,7 +218,7 @@
     const auto age = std::chrono::duration<double>(
         secondsSinceRise(std::max(0.0, shortRate - quietRate), std::max(0.0, longRate - quietRate)));
     Group group;
-    group.range = {first->first & ~(minRangeWidth - 1), std::prev(end)->first | (minRangeWidth - 1)};
+    group.range = {range.first & ~(minRangeWidth - 1), range.last | (minRangeWidth - 1)};
     group.since = now - duration_cast<Duration>(age);
     const double share = std::clamp(1 - quietRate / longRate, 0.0, 1.0);
     for (auto it = first; it != end; ++it) {
--- a/src/leases/hotranges_p.h
+++ b/src/leases/hotranges_p.h
@@ -58,7 +58,10 @@
 
     Group *find(KeyHash position);
     bool hasEnded(const Group &group, Instant now, const std::map<KeyHash, PositionLoad> &positions) const;
-    void add(Instant now, const SliceRange &blocks, double quietRate, const std::map<KeyHash, PositionLoad> &positions,
+    bool overlapsGroup(const SliceRange &range) const;
+    SliceRange withNeighbours(const SliceRange &blocks) const;
+    static SliceRange trimmed(const SliceRange &range, const std::map<KeyHash, PositionLoad> &positions);
+    void add(Instant now, const SliceRange &blocks, const std::map<KeyHash, PositionLoad> &positions,
              KeyHash minRangeWidth);
 
     std::vector<Group> m_groups;
