Count moving ranges for their next holder, and keep targets of hot ranges below the hot level

While a release waited for the queue of an overloaded holder, later plans still counted the range there and moved more of it, and its next holder seemed idle and got a second part.

--- a/src/leases/hotranges.cpp
+++ b/src/leases/hotranges.cpp
@@ -23,7 +23,7 @@
 /// A position this many mean distances away from the next is not in the group: by chance one in 150 would be.
 constexpr double FarDistances = 5;
 /// Time for which a group is found anew in each plan, since its ends and its start become clearer.
-constexpr double SettlingSeconds = 0.5;
+constexpr double SettlingSeconds = 1;
 /// Length of the count from which older requests lose weight.
 constexpr double LongestCountSeconds = 12;
 /// A group has ended when its short-term rate is below this fraction of the estimate.
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -148,7 +148,8 @@
         }
         const bool mayMove =
             it.openCall == 0 && !it.isBusy() && (!isWaiting || it.holder.name.empty()) && !isGrantDue(it);
-        slices.push_back({it.range, it.holder, !mayMove, m_now - it.changedAt < RecentMove});
+        // The load of a range that is moving is planned for its next holder, which would else get another one.
+        slices.push_back({it.range, it.target.value_or(it.holder), !mayMove, m_now - it.changedAt < RecentMove});
     }
     for (const auto &it : planLeaseMoves(slices, usable, currentLoad(), limits)) {
         auto *slice = m_slices.isolate(it.range);
--- a/src/leases/planning.cpp
+++ b/src/leases/planning.cpp
@@ -225,6 +225,12 @@
         }
     }
 
+    /// Utilization up to which servers take over load while there are hot ranges.
+    double hotLevel() const
+    {
+        return std::clamp(HotLevelOverMean * m_meanUtilization, MinHotLevel, MaxTargetUtilization);
+    }
+
     /// Spare capacity of all servers up to the utilization `level`.
     std::vector<std::pair<double, PlannedServer *>> spareCapacity(const PlannedServer &source, double level)
     {
@@ -244,7 +250,7 @@
     void divideHotPart(const Identity &holder, const SliceRange &range)
     {
         auto *source = findServer(holder);
-        double level = std::clamp(HotLevelOverMean * m_meanUtilization, MinHotLevel, MaxTargetUtilization);
+        double level = hotLevel();
         if (!source || source->utilization() < std::max(MinSourceUtilization, HotSourceFactor * level)
             || !mayDivide()) {
             return;
@@ -366,7 +372,8 @@
     /// `equalizingLoad` is the load whose move would give both servers the same utilization.
     double wantedLoad(const PlannedServer &target, double equalizingLoad) const
     {
-        const double spareCapacity = std::max(m_meanUtilization, MaxTargetUtilization) * target.capacity - target.load;
+        const double level = m_load.hotRanges.empty() ? MaxTargetUtilization : hotLevel();
+        const double spareCapacity = std::max(m_meanUtilization, level) * target.capacity - target.load;
         return std::min(MovedFraction * equalizingLoad,
                         std::max(spareCapacity, MinMovedCapacityFraction * target.capacity));
     }
