--- a/src/leases/hotranges.cpp
+++ b/src/leases/hotranges.cpp
@@ -14,8 +14,8 @@
 /// Width of the blocks that are tested for a rise; a 1,024th of the key space. A group of 200 of 60,000 keys covers
 /// three of them, so that its load is not lost in that of a whole range.
 constexpr KeyHash BlockWidth = KeyHash(1) << 54;
-/// Requests of a group in the short window from which it is hot: with fewer, its load would be estimated too badly for
-/// a division that lasts.
+/// Requests of a group in the short window from which it is hot: with fewer, the estimate of its load would be too
+/// inaccurate for a division that lasts.
 constexpr double MinHotRequests = 16;
 /// Requests in the short window from which a position may be the end of a group; one request counts as this much for
 /// about 0.8 s.
@@ -28,7 +28,7 @@
 constexpr double LongestCountSeconds = 12;
 /// A group has ended when its short-term rate is below this fraction of the estimate.
 constexpr double EndedRatio = 0.35;
-/// Widest group; a load that rises on more of the key space is no matter of a few hot keys.
+/// Widest group; a load that rises on more of the key space is not that of a few hot keys.
 constexpr KeyHash MaxGroupWidth = 32 * BlockWidth;
 /// Largest number of positions over which the mean of a group is spread.
 constexpr KeyHash MaxSmoothedPositions = 4'096;
@@ -101,8 +101,10 @@
     return shortRate < EndedRatio * group.sum() / group.seconds(now);
 }
 
-void HotRanges::update(Instant now, const std::map<KeyHash, PositionLoad> &positions, KeyHash minRangeWidth)
+std::vector<SliceRange> HotRanges::update(Instant now, const std::map<KeyHash, PositionLoad> &positions,
+                                          KeyHash minRangeWidth)
 {
+    const auto before = m_groups;
     m_groups.erase(std::remove_if(m_groups.begin(), m_groups.end(),
                                   [&](const Group &it) {
                                       return it.seconds(now) < SettlingSeconds || hasEnded(it, now, positions);
@@ -147,6 +149,16 @@
             m_quietRates[first] = it.longRate;
         }
     }
+    std::vector<SliceRange> added;
+    for (const auto &it : m_groups) {
+        const auto isKnown = [&](const Group &known) {
+            return known.range.overlaps(it.range);
+        };
+        if (std::none_of(before.begin(), before.end(), isKnown)) {
+            added.push_back(it.range);
+        }
+    }
+    return added;
 }
 
 bool HotRanges::overlapsGroup(const SliceRange &range) const
--- a/src/leases/hotranges_p.h
+++ b/src/leases/hotranges_p.h
@@ -31,8 +31,10 @@
 class HotRanges
 {
 public:
-    /// Finds new hot groups and drops those whose load has ended. `positions` are decayed to `now`.
-    void update(Instant now, const std::map<KeyHash, PositionLoad> &positions, KeyHash minRangeWidth);
+    /// Finds hot groups and drops those whose load has ended. `positions` are decayed to `now`. Returns the groups that
+    /// overlap none of before.
+    std::vector<SliceRange> update(Instant now, const std::map<KeyHash, PositionLoad> &positions,
+                                   KeyHash minRangeWidth);
     /// Adds requests that a daemon has reported.
     void count(KeyHash position, std::uint32_t requests);
     /// Replaces the rates of the hot positions by those since the rise, and names the groups.
--- a/src/leases/tables.cpp
+++ b/src/leases/tables.cpp
@@ -299,7 +299,9 @@
     LeaseLoad load;
     load.requestRates = m_requestRates;
     refreshPositions();
-    m_hotRanges.update(m_now, m_positions, m_settings.minRangeWidth);
+    for (const auto &it : m_hotRanges.update(m_now, m_positions, m_settings.minRangeWidth)) {
+        decide(LeaseEvents::HotRangeFound, it, "the load of neighbouring keys has risen suddenly");
+    }
     for (const auto &slice : m_slices.all()) {
         const auto begin = m_positions.lower_bound(slice.range.first);
         const auto end = m_positions.upper_bound(slice.range.last);
--- a/src/leases/tests/hotkeystest.cpp
+++ b/src/leases/tests/hotkeystest.cpp
@@ -61,7 +61,8 @@
                                   M_LN2 / LongHalfLifeSeconds * std::exp2(-age / 2 / LongHalfLifeSeconds), now};
     }
     HotRanges hot;
-    hot.update(now, positions, Width);
+    EXPECT_EQ(hot.update(now, positions, Width).size(), 1U);
+    EXPECT_TRUE(hot.update(now, positions, Width).empty()); // reported only once
     LeaseLoad load;
     hot.apply(now, Width, load);
     ASSERT_EQ(load.hotRanges.size(), 1U);
