--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -87,6 +87,10 @@
     std::int64_t maxGrantDurationMs = 10'000;
     /// Gateway: processor time that this VM may use, in cores. Large VMs lead services first.
     double cpuShare = 1;
+    /// Gateway: memory of this VM in MB, from which the bound on the bytes of callers is derived.
+    std::int64_t memoryMb = 16'384;
+    /// Gateway: descriptors of this VM, from which the bound on callers' connections is derived.
+    std::int64_t maxDescriptors = 1'000'000;
     /// File for the event trace; empty for none.
     std::string trace;
 
@@ -97,7 +101,8 @@
             && a.workers == b.workers && a.logLevel == b.logLevel && a.stopNoticeMs == b.stopNoticeMs
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
-            && a.cpuShare == b.cpuShare && a.trace == b.trace;
+            && a.cpuShare == b.cpuShare && a.memoryMb == b.memoryMb && a.maxDescriptors == b.maxDescriptors
+            && a.trace == b.trace;
     }
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -23,6 +23,11 @@
 
 constexpr std::string_view variablePrefix = "GALENAROCK_";
 constexpr std::int64_t dayMs = 86'400'000;
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MaxMemoryMb = 1'048'576;
+/// 200 for files and 56 for connections.
+constexpr std::int64_t MinDescriptors = 256;
+constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 /// Stores a value; returns what is wrong with it, empty for nothing.
 using Apply = std::string (*)(Settings &, const std::string &);
@@ -84,6 +89,13 @@
     return {};
 }
 
+/// An empty value keeps the default: the platform may state no limit.
+template<auto Member, std::int64_t Minimum, std::int64_t Maximum>
+std::string applyLimit(Settings &settings, const std::string &text)
+{
+    return text.empty() ? std::string() : applyNumber<Member, Minimum, Maximum>(settings, text);
+}
+
 std::string applyRetryRatio(Settings &settings, const std::string &text)
 {
     const auto message = applyAmount<&Settings::retryPercent>(settings, text);
@@ -165,6 +177,10 @@
      applyNumber<&Settings::maxGrantDurationMs, 100, dayMs>},
     {{"cpu-share", "CORES", "1", false, "gateway: processor time that this VM may use; large VMs lead first"},
      applyAmount<&Settings::cpuShare>},
+    {{"memory-mb", "MB", "16384", false, "gateway: memory of this VM; bounds the bytes of callers that are held"},
+     applyLimit<&Settings::memoryMb, MinMemoryMb, MaxMemoryMb>},
+    {{"max-descriptors", "N", "1000000", false, "gateway: descriptors of this VM; bounds callers' connections"},
+     applyLimit<&Settings::maxDescriptors, MinDescriptors, MaxDescriptors>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
@@ -234,6 +250,7 @@
     /// The library stops at the first syntax error; the faulty argument is taken out and the rest is parsed again.
     void readArguments(std::vector<std::string> arguments)
     {
+        removeEmptyLimits(arguments);
         const auto description = optionsDescription();
         const int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
         while (true) {
@@ -254,6 +271,15 @@
         }
     }
 
+    /// The library refuses `--memory-mb=`, which a platform without such a limit gives.
+    static void removeEmptyLimits(std::vector<std::string> &arguments)
+    {
+        const auto isEmptyLimit = [](const std::string &it) {
+            return it == "--memory-mb=" || it == "--max-descriptors=";
+        };
+        arguments.erase(std::remove_if(arguments.begin(), arguments.end(), isEmptyLimit), arguments.end());
+    }
+
     static bool removeArgument(std::vector<std::string> &arguments, const std::string &flag)
     {
         const auto isFaulty = [&](const std::string &it) {
