--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -241,6 +241,9 @@
     unsigned callerIdleSeconds = 120;
     /// Idle time after which a connection to a server is not reused.
     unsigned serverIdleSeconds = 60;
+    /// Memory in MB and descriptors of this VM, from which the bounds on what callers hold are derived; 0 for none.
+    std::int64_t memoryMb = 0;
+    std::int64_t maxDescriptors = 0;
 };
 
 /// The worker threads. Example:
@@ -265,6 +268,8 @@
     void closeIdle();
     /// Number of open connections of callers.
     std::size_t connectionCount() const;
+    /// Bytes that callers hold, as far as they are bounded.
+    std::size_t callerBytes() const;
     /// Stops the threads. Aborts requests that are still in flight: to avoid this, wait until ProxyShared::inFlight()
     /// is 0.
     void stop();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -352,6 +352,8 @@
     ProxySettings proxySettings{toString(settings.listen), settings.workers};
     proxySettings.headerBytes = CallerHeaderBytes;
     proxySettings.serverIdleSeconds = ServerIdleSeconds;
+    proxySettings.memoryMb = settings.memoryMb;
+    proxySettings.maxDescriptors = settings.maxDescriptors;
     BOOST_LEAF_CHECK(proxy.start(proxySettings));
     leaseCaller = std::make_unique<LeaseCaller>(dialect, metrics, shared.serverReach(), [this](LeaseReplyEvent event) {
         control->post(EventSource::Servers, std::move(event));
@@ -411,6 +413,7 @@
 {
     metrics.gauge("galenarock_requests_in_flight", "",
                   [this] { return static_cast<double>(shared.inFlight().load()); });
+    metrics.gauge("galenarock_caller_bytes", "", [this] { return static_cast<double>(proxy.callerBytes()); });
     metrics.gauge("galenarock_live_daemons", "", [this] { return static_cast<double>(shared.liveDaemons()); });
     metrics.gauge("galenarock_configuration_unknown_values", "",
                   [this] { return static_cast<double>(m_unknownValues.load()); });
--- a/src/proxy/bytebuffer_p.h
+++ b/src/proxy/bytebuffer_p.h
@@ -5,9 +5,20 @@
 #include <cstring>
 #include <string>
 
+#include "callerbudget_p.h"
+
 namespace Galenarock
 {
 
+/// Empties a buffer and frees its memory, unless that is little.
+inline void clearBuffer(std::string &bytes)
+{
+    bytes.clear();
+    if (bytes.capacity() > KeptBufferBytes) {
+        bytes.shrink_to_fit();
+    }
+}
+
 /// FIFO byte buffer of limited capacity for one streamed body.
 class ByteBuffer
 {
@@ -52,9 +63,15 @@
         return n;
     }
 
+    /// Memory in use, at most.
+    std::size_t capacity() const
+    {
+        return m_bytes.capacity();
+    }
+
     void clear()
     {
-        m_bytes.clear();
+        clearBuffer(m_bytes);
         m_begin = 0;
     }
 
--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -25,6 +25,12 @@
 /// After the last response the caller's bytes are read and discarded for this time, since closing a socket with unread
 /// bytes resets the connection and the caller may lose the response.
 constexpr Duration LingerTime = seconds(1);
+/// Age at which a connection without a request gives way to a new one.
+constexpr Duration MinIdleAge = seconds(1);
+/// A caller that takes nothing of its answer for this time no longer counts as reading it, if memory is short.
+constexpr Duration AnswerStall = seconds(10);
+/// Time until holders are looked for again after none was found.
+constexpr Duration BudgetRetryInterval = milliseconds(50);
 constexpr Duration TimeoutCheckInterval = milliseconds(250);
 }
 
@@ -32,14 +38,22 @@
 class CallerListener::Connection
 {
 public:
-    Connection(int socket, const PipelineLimits &limits, PipelineHooks hooks, const std::string &callerAddress)
+    Connection(int socket, const PipelineLimits &limits, PipelineHooks hooks, const std::string &callerAddress,
+               std::shared_ptr<CallerBudget> budget)
         : fd(socket)
         , pipeline(limits, std::move(hooks), callerAddress)
+        , share(std::move(budget))
     {
     }
 
     int fd;
     CallerPipeline pipeline;
+    CallerBudget::Share share;
+    BodyProgress bodyProgress;
+    /// It was ended, and waits until its last answer is sent.
+    bool isEnding = false;
+    /// Last time at which a request was being served; the time of the connection's start before the first one.
+    Instant servedAt{};
     /// Last time at which bytes were received or sent.
     Instant activeAt{};
     /// EPOLLIN and EPOLLOUT as far as they are watched.
@@ -164,6 +178,7 @@
             update(now, connection);
         }
     });
+    enforceBudget(now);
 }
 
 /// Closes the connection when handling it fails unexpectedly, so that no other one is affected.
@@ -188,6 +203,7 @@
         return;
     }
     connection.activeAt = now;
+    connection.bodyProgress.received(static_cast<std::size_t>(n));
     connection.pipeline.receive(now, {m_buffer.data(), static_cast<std::size_t>(n)});
 }
 
@@ -203,6 +219,11 @@
             break; // the socket takes no more now
         }
     }
+    if (pipeline.output().empty()) {
+        clearBuffer(pipeline.output());
+    }
+    connection->share.set(pipeline.callerBytes());
+    connection->servedAt = pipeline.depth() > 0 ? now : connection->servedAt;
     if (pipeline.isClosing() && pipeline.output().empty() && !connection->isLingering) {
         beginLingering(now, *connection);
         return;
@@ -265,6 +286,7 @@
     ::close(kept->fd);
     kept->fd = -1;
     kept->pipeline.disconnect();
+    kept->share.set(0);
 }
 
 void CallerListener::run(Instant now)
@@ -280,12 +302,14 @@
             guard(*connection, [&] { update(now, connection); });
         }
     }
+    enforceBudget(now);
     if (m_isAcceptDue) {
         acceptWaiting(now, MaxAcceptsPerRun);
     }
     if (now >= m_nextTimeoutCheck) {
         m_nextTimeoutCheck = now + TimeoutCheckInterval;
         closeTimedOut(now);
+        endStalledBodies(now);
         watchListener(true);
     }
 }
@@ -294,7 +318,7 @@
 {
     m_isAcceptDue = false;
     for (std::size_t n = 0; n < most && m_listenFd >= 0; ++n) {
-        if (m_connections.size() >= m_settings.connectionLimit) {
+        if (m_connections.size() >= connectionLimit() && !closeIdlest(now)) {
             watchListener(false);
             return;
         }
@@ -329,8 +353,10 @@
     hooks.socket = [fd] {
         return fd;
     };
-    auto connection = std::make_shared<Connection>(fd, limits, std::move(hooks), callerAddress);
+    auto connection = std::make_shared<Connection>(fd, limits, std::move(hooks), callerAddress, m_settings.budget);
     connection->activeAt = now;
+    connection->servedAt = now;
+    connection->share.set(connection->pipeline.callerBytes());
     connection->watched = EPOLLIN;
     epoll_event event{};
     event.events = EPOLLIN | EPOLLRDHUP;
@@ -349,6 +375,94 @@
         && recv(connection.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::size_t CallerListener::connectionLimit() const
+{
+    return m_settings.budget ? std::min(m_settings.connectionLimit, m_settings.budget->limits().connections)
+                             : m_settings.connectionLimit;
+}
+
+bool CallerListener::closeIdlest(Instant now)
+{
+    ConnectionPtr idlest;
+    for (const auto &[fd, it] : m_connections) {
+        const bool isIdle = it->pipeline.depth() == 0 && it->pipeline.output().empty();
+        const bool isOlder = !idlest || it->servedAt < idlest->servedAt;
+        if (isIdle && isOlder && now - it->servedAt >= MinIdleAge && !hasUnread(*it)) {
+            idlest = it;
+        }
+    }
+    if (!idlest) {
+        return false;
+    }
+    m_hooks.onGaveWay("connections", idlest->share.bytes());
+    close(*idlest);
+    return true;
+}
+
+/// An answer that its caller reads is never ended.
+bool CallerListener::mayEnd(Instant now, const Connection &connection)
+{
+    if (connection.isEnding || connection.isLingering) {
+        return false;
+    }
+    return connection.pipeline.canGiveWay() || now - connection.activeAt >= AnswerStall;
+}
+
+CallerListener::ConnectionPtr CallerListener::firstToEnd(Instant now) const
+{
+    std::vector<CallerHolder> holders;
+    std::vector<ConnectionPtr> connections;
+    for (const auto &[fd, it] : m_connections) {
+        if (mayEnd(now, *it)) {
+            holders.push_back({it->share.bytes(), it->activeAt});
+            connections.push_back(it);
+        }
+    }
+    const auto first = Galenarock::firstToEnd(now, holders);
+    return first ? connections[*first] : nullptr;
+}
+
+void CallerListener::enforceBudget(Instant now)
+{
+    const auto *budget = m_settings.budget.get();
+    while (budget && budget->isExceeded() && now >= m_nextBudgetCheck) {
+        const auto holder = firstToEnd(now);
+        if (!holder) {
+            m_nextBudgetCheck = now + BudgetRetryInterval;
+            return;
+        }
+        end(now, holder, "memory");
+    }
+}
+
+void CallerListener::end(Instant now, const ConnectionPtr &connection, std::string_view cause)
+{
+    connection->isEnding = true;
+    m_hooks.onGaveWay(cause, connection->share.bytes());
+    guard(*connection, [&] {
+        if (!connection->pipeline.canGiveWay()) {
+            close(*connection);
+            return;
+        }
+        connection->pipeline.giveWay(cause);
+        update(now, connection);
+    });
+}
+
+void CallerListener::endStalledBodies(Instant now)
+{
+    std::vector<ConnectionPtr> stalled;
+    for (const auto &[fd, it] : m_connections) {
+        const bool isWaiting = it->pipeline.isWaitingForBody();
+        if (it->bodyProgress.isStalled(now, isWaiting) && it->pipeline.canGiveWay() && !it->isEnding) {
+            stalled.push_back(it);
+        }
+    }
+    for (const auto &it : stalled) {
+        end(now, it, "stalled-body");
+    }
+}
+
 void CallerListener::closeTimedOut(Instant now)
 {
     std::vector<ConnectionPtr> expired;
--- a/src/proxy/callerlistener_p.h
+++ b/src/proxy/callerlistener_p.h
@@ -10,6 +10,7 @@
 
 #include <galenarock/error.h>
 
+#include "callerbudget_p.h"
 #include "callerpipeline_p.h"
 
 /// The callers' side of the proxy: listening socket and connections of one worker.
@@ -30,6 +31,8 @@
     /// Maximum number of connections that wait to be accepted. Above it the kernel drops the SYN packet, which the
     /// client retransmits after about 1 s.
     int backlog = 1'024;
+    /// Shared by all workers; null for no bound.
+    std::shared_ptr<CallerBudget> budget;
 };
 
 struct CallerListenerHooks
@@ -41,6 +44,8 @@
     std::function<bool()> isStopping;
     /// PipelineHooks::onMalformed.
     std::function<void(std::string_view)> onMalformed;
+    /// A caller is ended for this cause while its connection takes so many bytes.
+    std::function<void(std::string_view cause, std::size_t bytes)> onGaveWay;
 };
 
 /// Accepts callers' connections on one address for one worker thread, which owns the epoll instance.
@@ -96,6 +101,15 @@
     void guard(Connection &connection, const std::function<void()> &body);
     static bool hasUnread(const Connection &connection);
     void closeTimedOut(Instant now);
+    void endStalledBodies(Instant now);
+    /// Ends holders until callers hold no more than the budget.
+    void enforceBudget(Instant now);
+    ConnectionPtr firstToEnd(Instant now) const;
+    static bool mayEnd(Instant now, const Connection &connection);
+    void end(Instant now, const ConnectionPtr &connection, std::string_view cause);
+    /// Closes the connection that has been without a request for the longest time; false if there is none.
+    bool closeIdlest(Instant now);
+    std::size_t connectionLimit() const;
     Duration idleTimeout() const;
 
     const int m_epollFd;
@@ -111,6 +125,7 @@
     std::vector<std::weak_ptr<Connection>> m_changed;
     std::vector<char> m_buffer;
     Instant m_nextTimeoutCheck{};
+    Instant m_nextBudgetCheck{};
     std::atomic<std::size_t> m_connectionCount{0};
 };
 
--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -40,6 +40,48 @@
     }
     m_input.append(bytes);
     pump(now);
+    if (m_input.empty()) {
+        clearBuffer(m_input);
+    }
+}
+
+std::size_t CallerPipeline::callerBytes() const
+{
+    auto n = ConnectionCostBytes + m_input.capacity() + m_output.capacity();
+    for (const auto &it : m_entries) {
+        n += it->callerBytes();
+    }
+    n += m_held ? m_held->callerBytes() : 0;
+    const bool isAnswered = m_receiving && m_receiving->hasEnded();
+    return n + (isAnswered ? m_receiving->callerBytes() : 0);
+}
+
+bool CallerPipeline::canGiveWay() const
+{
+    if (m_isClosing) {
+        return false;
+    }
+    const auto isOpen = [](const std::shared_ptr<Exchange> &it) {
+        return !it->hasResponse() && it->onGiveWay;
+    };
+    return m_entries.empty() ? m_output.empty() : std::any_of(m_entries.begin(), m_entries.end(), isOpen);
+}
+
+void CallerPipeline::giveWay(std::string_view cause)
+{
+    if (m_entries.empty()) {
+        close();
+        return;
+    }
+    const auto entries = m_entries; // the hooks may change it
+    for (const auto &it : entries) {
+        if (it->hasEnded() || it->hasResponse() || !it->onGiveWay) {
+            continue;
+        }
+        it->m_head.keepsAlive = false;
+        const auto hook = it->onGiveWay;
+        hook(cause);
+    }
 }
 
 bool CallerPipeline::wantsInput() const
--- a/src/proxy/callerpipeline_p.h
+++ b/src/proxy/callerpipeline_p.h
@@ -103,6 +103,18 @@
         return m_entries.size();
     }
 
+    /// Memory that the connection takes, see CallerBudget.
+    std::size_t callerBytes() const;
+    /// Whether giveWay() has something to end.
+    bool canGiveWay() const;
+    /// Ends what has no answer: requests are refused, and the connection closes behind the answers.
+    void giveWay(std::string_view cause);
+    /// A request has been started and its caller still has to send a part of its body.
+    bool isWaitingForBody() const
+    {
+        return m_receiving && !m_receiving->hasEnded() && !m_receiving->hasResponse() && wantsInput();
+    }
+
 private:
     friend class Exchange;
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -7,6 +7,23 @@
 namespace Galenarock
 {
 
+Exchange::Exchange(RequestHead head, Instant readAt)
+    : m_head(std::move(head))
+    , m_readAt(readAt)
+    , m_headBytes(m_head.target.size())
+{
+    for (const auto &it : m_head.headers) {
+        m_headBytes += it.name.size() + it.value.size();
+    }
+}
+
+std::size_t Exchange::callerBytes() const
+{
+    // The header fields are copied for the server.
+    return ExchangeCostBytes + 2 * m_headBytes + m_bufferedBytes + m_requestBody.capacity() + m_completeBody.capacity()
+        + m_responseBody.capacity();
+}
+
 void Exchange::respond(unsigned status, std::vector<HeaderField> headers, std::string body)
 {
     m_status = status;
@@ -93,6 +110,7 @@
 {
     m_pipeline = nullptr;
     onBody = nullptr;
+    onGiveWay = nullptr;
     onResponseDrained = nullptr;
     if (const auto hook = std::exchange(onEnded, nullptr)) {
         hook(complete);
--- a/src/proxy/exchange_p.h
+++ b/src/proxy/exchange_p.h
@@ -27,11 +27,7 @@
 class Exchange
 {
 public:
-    Exchange(RequestHead head, Instant readAt)
-        : m_head(std::move(head))
-        , m_readAt(readAt)
-    {
-    }
+    Exchange(RequestHead head, Instant readAt);
 
     /// Path and query as received, without percent-decoding, such as `/vitrina/items?key=7`.
     const std::string &target() const
@@ -115,6 +111,17 @@
     /// Resumes receiving a request body after requestBody() was full.
     void continueRequestBody();
 
+    /// Bytes of the request body that are buffered elsewhere for this exchange.
+    void setBufferedBytes(std::size_t n)
+    {
+        m_bufferedBytes = n;
+    }
+    /// Memory that the exchange takes, see CallerBudget.
+    std::size_t callerBytes() const;
+
+    /// Called when the exchange must end, because callers hold too many bytes or its body stalls. Null if it cannot be
+    /// ended; it is answered, at the latest when the hook returns, if it can.
+    std::function<void(std::string_view cause)> onGiveWay;
     /// Called when more of the request body has arrived, and at its end.
     std::function<void()> onBody;
     /// Called when the buffer of a streamed response has room again.
@@ -131,6 +138,8 @@
     RequestHead m_head;
     Instant m_readAt;
     std::string m_callerAddress;
+    std::size_t m_headBytes = 0;
+    std::size_t m_bufferedBytes = 0;
     /// Null after the end.
     CallerPipeline *m_pipeline = nullptr;
     std::size_t m_depth = 1;
--- a/src/proxy/heldbytes_p.h
+++ b/src/proxy/heldbytes_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <atomic>
 #include <cstddef>
 #include <memory>
 
@@ -29,10 +31,20 @@
     /// Whether all requests together may hold `n` bytes more.
     bool hasRoom(std::size_t n) const
     {
-        return *m_total + n <= MaxHeldResponseBytes;
+        return *m_total + n <= limit().load(std::memory_order_relaxed);
+    }
+    /// Lowers what the requests of one worker may hold on a VM with little memory. Call before the workers start.
+    static void setLimit(std::size_t n)
+    {
+        limit().store(std::min(n, MaxHeldResponseBytes), std::memory_order_relaxed);
     }
 
 private:
+    static std::atomic<std::size_t> &limit()
+    {
+        static std::atomic<std::size_t> bytes{MaxHeldResponseBytes};
+        return bytes;
+    }
     static const std::shared_ptr<std::size_t> &totalOfThread()
     {
         thread_local const auto total = std::make_shared<std::size_t>(0);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -8,6 +8,12 @@
 namespace Galenarock
 {
 
+namespace
+{
+/// Collected and streamed responses may take this part of what callers may hold.
+constexpr std::size_t HeldResponsesDivisor = 4;
+}
+
 class Proxy::Impl
 {
 public:
@@ -17,6 +23,7 @@
     }
 
     ProxyShared &shared;
+    std::shared_ptr<CallerBudget> budget;
     std::vector<std::unique_ptr<Worker>> workers;
 };
 
@@ -33,6 +40,13 @@
     ListenerSettings listener{settings.listenAddress, settings.workers > 1};
     listener.headerBytes = settings.headerBytes;
     listener.idleSeconds = settings.callerIdleSeconds;
+    if (settings.memoryMb > 0) {
+        auto limits = callerBounds(settings.memoryMb, settings.maxDescriptors);
+        limits.connections = std::max<std::size_t>(1, limits.connections / settings.workers);
+        HeldBytes::setLimit(limits.bytes / HeldResponsesDivisor / settings.workers);
+        m_impl->budget = std::make_shared<CallerBudget>(limits);
+        listener.budget = m_impl->budget;
+    }
     for (unsigned n = 0; n < settings.workers; ++n) {
         auto worker = std::make_unique<Worker>(m_impl->shared);
         worker->setServerIdleLimit(settings.serverIdleSeconds);
@@ -89,6 +103,11 @@
     return n;
 }
 
+std::size_t Proxy::callerBytes() const
+{
+    return m_impl->budget ? m_impl->budget->bytes() : 0;
+}
+
 void Proxy::stop()
 {
     for (const auto &it : m_impl->workers) {
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -20,6 +20,10 @@
 /// A reachable server accepts a connection within a few milliseconds; if a packet is lost, one attempt takes this long.
 constexpr std::int64_t RoutedConnectTimeoutMs = 300;
 
+/// Far more than a grant between daemons has. Any caller can send such a request, and its body is collected before its
+/// authentication is checked.
+constexpr std::size_t MaxGrantBytes = 1 << 20;
+
 std::uint64_t maxBodyBytes(const PendingRequest &request)
 {
     return request.rule ? request.routes->configuration().limits.maxBodyBytes
@@ -73,6 +77,11 @@
     exchange->onEnded = [this, weak](bool complete) {
         withRequest(weak, [&](const Pending &it) { handleExchangeEnd(it, complete); });
     };
+    if (m_shared.dialect()) {
+        exchange->onGiveWay = [this, weak](std::string_view cause) {
+            withRequest(weak, [&](const Pending &it) { giveWay(it, cause); });
+        };
+    }
     if (exchange->target() == PeerGrantsPath && !exchange->header(PeerAuthHeader).empty()) {
         exchange->onBody = [this, weak] {
             withRequest(weak, [&](const Pending &it) { receiveGrant(it); });
@@ -121,9 +130,18 @@
 
 void RequestHandler::receiveGrant(const Pending &request)
 {
+    if (request->finished) {
+        request->exchange->requestBody().clear();
+        return;
+    }
     auto &exchange = *request->exchange;
     request->body.append(exchange.requestBody().data(), exchange.requestBody().size());
+    exchange.setBufferedBytes(request->body.capacity());
     exchange.requestBody().clear();
+    if (request->body.size() > MaxGrantBytes) {
+        refuse(request, {Reason::BodyTooLarge, Outcome::NotRun, {}, 0});
+        return;
+    }
     if (!exchange.isRequestComplete()) {
         return;
     }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -114,6 +114,11 @@
     // callers that have left (leftcallers.cpp)
     /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
     static bool hasCallerLeft(const PendingRequest &request);
+    /// Refuses a request that holds too many bytes or whose body stalls; an attempt in flight is cancelled.
+    void giveWay(const Pending &request, std::string_view cause);
+    bool mayCancel(const PendingRequest &request) const;
+    void cancelAttempt(const Pending &request);
+    void leaveQueue(const Pending &request);
     /// Ends a request whose caller has left: it is not sent, and an attempt in flight is cancelled unless its outcome
     /// must be recorded.
     void abandon(const Pending &request);
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 constexpr std::size_t MaxDiscardedBytes = 65'536;
+/// Retry-After of a request that gave way: by then the bodies that hold the memory have ended or stalled.
+constexpr std::int64_t GiveWayRetryMs = 1'000;
 
 std::vector<HeaderField> refusalHeaders(const Refusal &refusal)
 {
@@ -308,12 +310,64 @@
         return;
     }
     request->finished = true;
+    if (!request->attempt) {
+        clearBuffer(request->body);
+        request->exchange->setBufferedBytes(0);
+    }
     m_shared.inFlight().fetch_sub(1, std::memory_order_relaxed);
     if (request->exchange->hasEnded()) {
         m_active.erase(request);
     }
 }
 
+void RequestHandler::leaveQueue(const Pending &request)
+{
+    if (request->isQueued) {
+        request->traffic->admission.cancel(request->ticket);
+        request->traffic->queued.erase(request->ticket);
+        request->isQueued = false;
+    }
+}
+
+/// A non-repeatable request in the ledger is not cancelled, unless it streams its body, so that its outcome can be
+/// recorded for repeats. Neither is a request at a server that does not check grants: a cancelled one may still run and
+/// would block moves until the server is gone.
+bool RequestHandler::mayCancel(const PendingRequest &request) const
+{
+    const bool hasNoRecord = request.rule != nullptr;
+    return (request.idempotent || request.streamsBody || hasNoRecord) && request.uncheckedTicket == 0;
+}
+
+void RequestHandler::cancelAttempt(const Pending &request)
+{
+    const bool isSilent = request->server != noServer && request->responseStatus == 0;
+    if (isSilent && UpstreamClient::isSent(request->attempt)) {
+        reportSilence(*request);
+    }
+    m_upstream.cancel(request->attempt);
+    request->attempt = nullptr;
+    if (request->server != noServer) {
+        request->traffic->observations.finished(m_now, request->handle, {AttemptEnd::Cancelled, Duration(0), {}});
+    }
+}
+
+void RequestHandler::giveWay(const Pending &request, std::string_view cause)
+{
+    if (request->finished) {
+        return;
+    }
+    m_now = MonotonicClock::now();
+    leaveQueue(request);
+    const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
+    if (request->attempt) {
+        cancelAttempt(request);
+    }
+    Refusal refusal{Reason::RingFull, Outcome::NotRun, std::string(cause), GiveWayRetryMs};
+    refusal = routedRefusal(*request, refusal);
+    refusal.outcome = wasSent ? Outcome::Unknown : Outcome::NotRun;
+    refuse(request, refusal);
+}
+
 void RequestHandler::handleExchangeEnd(const Pending &request, bool)
 {
     if (request->finished) {
@@ -325,28 +379,10 @@
              "request {}: the caller disconnected within {} ms after it was read, {} attempts, server {}",
              request->requestId, duration_cast<milliseconds>(m_now - request->arrivedAt).count(),
              request->plan ? request->plan->attempts() : 0, request->serverIdentity.name);
-    if (request->isQueued) {
-        request->traffic->admission.cancel(request->ticket);
-        request->traffic->queued.erase(request->ticket);
-        request->isQueued = false;
-    }
-    // A non-repeatable request in the ledger is not cancelled, unless it streams its body, so that its outcome can be
-    // recorded for repeats. Neither is a request at a server that does not check grants: a cancelled one may still run
-    // and would block moves until the server is gone.
-    const bool hasNoRecord = request->rule != nullptr;
-    const bool mayCancel =
-        (request->idempotent || request->streamsBody || hasNoRecord) && request->uncheckedTicket == 0;
+    leaveQueue(request);
     const bool wasSent = request->attempt || (request->plan && request->plan->mayHaveRun());
-    if (request->attempt && mayCancel) {
-        const bool isSilent = request->server != noServer && request->responseStatus == 0;
-        if (isSilent && UpstreamClient::isSent(request->attempt)) {
-            reportSilence(*request);
-        }
-        m_upstream.cancel(request->attempt);
-        request->attempt = nullptr;
-        if (request->server != noServer) {
-            request->traffic->observations.finished(m_now, request->handle, {AttemptEnd::Cancelled, Duration(0), {}});
-        }
+    if (request->attempt && mayCancel(*request)) {
+        cancelAttempt(request);
     }
     if (!request->attempt) {
         const auto outcome = wasSent ? Outcome::Unknown : Outcome::NotRun;
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -163,6 +163,7 @@
     auto &exchange = *request->exchange;
     auto &buffer = exchange.requestBody();
     request->body.append(buffer.data(), buffer.size());
+    exchange.setBufferedBytes(request->body.capacity());
     buffer.clear();
     if (request->body.size() > request->routes->configuration().limits.maxBodyBytes) {
         refuse(request, {Reason::BodyTooLarge, Outcome::NotRun, {}, 0});
--- a/src/proxy/worker.cpp
+++ b/src/proxy/worker.cpp
@@ -42,6 +42,7 @@
 Worker::Worker(ProxyShared &shared)
     : m_epollFd(epoll_create1(EPOLL_CLOEXEC))
     , m_wakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+    , m_shared(shared)
     , m_malformed(shared.metrics().counter("galenarock_malformed_http_total"))
     , m_upstream(m_epollFd, UpstreamTag)
     , m_handler(shared, m_upstream)
@@ -49,8 +50,9 @@
                  {[this](const std::shared_ptr<Exchange> &it) { m_handler.handleRequest(it); },
                   [this](const Exchange &it) { return m_handler.mayRunAhead(it); },
                   [&shared] { return shared.isDraining() || shared.isRefusing(); },
-                  [this](std::string_view text) {
-                      countMalformed(text);
+                  [this](std::string_view text) { countMalformed(text); },
+                  [this](std::string_view cause, std::size_t bytes) {
+                      countGaveWay(cause, bytes);
                   }})
 {
     watchInput(m_epollFd, m_wakeFd, WakeTag);
@@ -112,6 +114,12 @@
     logEvent(Events::MalformedHttp, "{}", text);
 }
 
+void Worker::countGaveWay(std::string_view cause, std::size_t bytes) const
+{
+    m_shared.metrics().counter("galenarock_callers_ended_total", fmt::format("cause=\"{}\"", cause)).add();
+    logEvent(Events::CallerGaveWay, "cause {}, {} bytes held", cause, bytes);
+}
+
 int Worker::waitMs(Instant now) const
 {
     if (m_listener.isRunNeeded()) {
--- a/src/proxy/worker_p.h
+++ b/src/proxy/worker_p.h
@@ -59,6 +59,7 @@
 
 private:
     void countMalformed(std::string_view text);
+    void countGaveWay(std::string_view cause, std::size_t bytes) const;
     int waitMs(Instant now) const;
     void handleEvents(const epoll_event *events, int n, std::uint64_t tag);
     void handleWake();
@@ -66,6 +67,7 @@
 
     int m_epollFd;
     int m_wakeFd;
+    ProxyShared &m_shared;
     Counter &m_malformed;
     std::atomic<bool> m_stopRequested{false};
     std::atomic<bool> m_quiesceRequested{false};
