--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -230,7 +230,7 @@
 {
     const auto defect = *m_parser.defect();
     m_hooks.onMalformed(defect.text);
-    m_input.clear();
+    clearBuffer(m_input);
     RequestHead head;
     head.keepsAlive = false;
     auto refusal = std::make_shared<Exchange>(std::move(head), now);
@@ -417,7 +417,7 @@
 void CallerPipeline::close()
 {
     m_isClosing = true;
-    m_input.clear();
+    clearBuffer(m_input);
     m_held.reset();
     m_receiving.reset();
     const auto ended = std::exchange(m_entries, {});
