--- a/src/base/tests/settingstest.cpp
+++ b/src/base/tests/settingstest.cpp
@@ -51,6 +51,23 @@
     EXPECT_EQ(parsed.settings.workers, 7u);
 }
 
+// Guards against a gateway that does not start on a platform that states no limits, or ignores those that it states.
+TEST(Settings, emptyLimitsKeepTheirDefaults)
+{
+    auto flags = goodFlags();
+    flags.insert(flags.end(), {"--memory-mb=", "--max-descriptors="});
+    const auto empty = parseSettings(flags, {});
+    EXPECT_EQ(toString(empty.findings), "");
+    EXPECT_EQ(empty.settings.memoryMb, Settings().memoryMb);
+    EXPECT_EQ(empty.settings.maxDescriptors, Settings().maxDescriptors);
+    flags = goodFlags();
+    flags.insert(flags.end(), {"--memory-mb=120", "--max-descriptors=3075"});
+    const auto given = parseSettings(flags, {});
+    EXPECT_EQ(toString(given.findings), "");
+    EXPECT_EQ(given.settings.memoryMb, 120);
+    EXPECT_EQ(given.settings.maxDescriptors, 3'075);
+}
+
 // Guards against reporting only the first defect, which costs one start for each.
 TEST(Settings, allDefectsAreReportedTogether)
 {
--- a/src/proxy/callerbudget.cpp
+++ b/src/proxy/callerbudget.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t FileDescriptors = 200;
 /// Each request may need a connection to a server.
 constexpr std::int64_t DescriptorsPerCaller = 2;
+/// Without a bound a connection that has long been idle and holds little would end before a large body.
+constexpr Duration LongestIdleWeight = seconds(10);
 
 std::size_t largeBytesOf(std::size_t bytes)
 {
@@ -48,7 +50,7 @@
 std::optional<std::size_t> firstToEnd(Instant now, const std::vector<CallerHolder> &holders)
 {
     const auto score = [now](const CallerHolder &it) {
-        const std::chrono::duration<double> idle = std::max(now - it.progressAt, Duration::zero());
+        const std::chrono::duration<double> idle = std::clamp(now - it.progressAt, Duration::zero(), LongestIdleWeight);
         return static_cast<double>(it.bytes) * (1 + idle.count());
     };
     const auto last =
--- a/src/proxy/callerbudget_p.h
+++ b/src/proxy/callerbudget_p.h
@@ -59,7 +59,12 @@
     /// Whether holders must end.
     bool isExceeded() const
     {
-        return bytes() > m_limits.bytes || m_largeBytes.load(std::memory_order_relaxed) > m_limits.largeBytes;
+        return isExceededByAll() || m_largeBytes.load(std::memory_order_relaxed) > m_limits.largeBytes;
+    }
+    /// Whether holders must end also if they are ordinary.
+    bool isExceededByAll() const
+    {
+        return bytes() > m_limits.bytes;
     }
 
     /// What one connection holds.
@@ -99,7 +104,7 @@
 struct CallerHolder
 {
     std::size_t bytes = 0;
-    /// When the caller last sent or took bytes.
+    /// When the caller last sent or took bytes; the present time if nothing is expected of it.
     Instant progressAt{};
 };
 
--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -413,10 +413,14 @@
     std::vector<CallerHolder> holders;
     std::vector<ConnectionPtr> connections;
     for (const auto &[fd, it] : m_connections) {
-        if (mayEnd(now, *it)) {
-            holders.push_back({it->share.bytes(), it->activeAt});
-            connections.push_back(it);
+        const bool isTooSmall = it->share.bytes() <= OrdinaryHolderBytes && !m_settings.budget->isExceededByAll();
+        if (isTooSmall || !mayEnd(now, *it)) {
+            continue;
         }
+        const bool isWaitingForServer =
+            it->pipeline.depth() > 0 && it->pipeline.output().empty() && !it->pipeline.isWaitingForBody();
+        holders.push_back({it->share.bytes(), isWaitingForServer ? now : it->activeAt});
+        connections.push_back(it);
     }
     const auto first = Galenarock::firstToEnd(now, holders);
     return first ? connections[*first] : nullptr;
--- a/src/proxy/tests/callerbudgettest.cpp
+++ b/src/proxy/tests/callerbudgettest.cpp
@@ -70,6 +70,7 @@
     EXPECT_EQ(firstToEnd(Start, {{10'000, Start}, {500'000, Start}, {20'000, Start}}), 1U);
     EXPECT_EQ(firstToEnd(Start, {{500'000, Start}, {400'000, Start - seconds(1)}}), 1U);
     EXPECT_EQ(firstToEnd(Start, {{500'000, Start}, {20'000, Start - seconds(2)}}), 0U);
+    EXPECT_EQ(firstToEnd(Start, {{100'000, Start}, {4'000, Start - seconds(90)}}), 0U);
 }
 
 // Guards against uploads that stop and hold their bytes, and against a rate that slow but steady callers do not reach.
