--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -94,6 +94,10 @@
     /// Gateway: time within which no request is sent any more to a failure domain whose evacuation the store has
     /// accepted; 0 for a platform without evacuations.
     std::int64_t evacuationMs = 0;
+    /// Gateway: memory of this VM in MB, from which the bound on the bytes of callers is derived.
+    std::int64_t memoryMb = 16'384;
+    /// Gateway: descriptors of this VM, from which the bound on callers' connections is derived.
+    std::int64_t maxDescriptors = 1'000'000;
     /// File for the event trace; empty for none.
     std::string trace;
 
@@ -105,7 +109,8 @@
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
             && a.cpuShare == b.cpuShare && a.warmupOvershoot == b.warmupOvershoot && a.warmupSlack == b.warmupSlack
-            && a.evacuationMs == b.evacuationMs && a.trace == b.trace;
+            && a.evacuationMs == b.evacuationMs && a.memoryMb == b.memoryMb && a.maxDescriptors == b.maxDescriptors
+            && a.trace == b.trace;
     }
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -23,6 +23,11 @@
 
 constexpr std::string_view variablePrefix = "GALENAROCK_";
 constexpr std::int64_t dayMs = 86'400'000;
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MaxMemoryMb = 1'048'576;
+/// 200 for files and 56 for connections.
+constexpr std::int64_t MinDescriptors = 256;
+constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 /// Stores a value; returns what is wrong with it, empty for nothing.
 using Apply = std::string (*)(Settings &, const std::string &);
@@ -171,6 +176,10 @@
      applyAmount<&Settings::warmupSlack>},
     {{"evacuation-ms", "MS", "0", false, "gateway: bound for the evacuation of a failure domain; 0 or empty is off"},
      applyNumber<&Settings::evacuationMs, 0, dayMs>},
+    {{"memory-mb", "MB", "16384", false, "gateway: memory of this VM; bounds the bytes of callers that are held"},
+     applyNumber<&Settings::memoryMb, MinMemoryMb, MaxMemoryMb>},
+    {{"max-descriptors", "N", "1000000", false, "gateway: descriptors of this VM; bounds callers' connections"},
+     applyNumber<&Settings::maxDescriptors, MinDescriptors, MaxDescriptors>},
     {{"trace", "FILE", "", false, "write an event trace for galenarock-replay"}, applyTrace},
     {{"help", "", "", false, "print this text"}, applyMode<SettingsMode::Help>},
     {{"version", "", "", false, "print the version"}, applyMode<SettingsMode::Version>},
@@ -179,7 +188,8 @@
 
 /// Settings whose value may be empty, which leaves the default: the platform fills in bounds that not every deployment
 /// has.
-constexpr std::string_view MayBeEmpty[] = {"evacuation-ms", "warmup-overshoot", "warmup-slack"};
+constexpr std::string_view MayBeEmpty[] = {"evacuation-ms", "warmup-overshoot", "warmup-slack", "memory-mb",
+                                           "max-descriptors"};
 
 bool mayBeEmpty(std::string_view name)
 {
