Give the answers of a cold server the added field number 2 of the permit request

Cause: EarlierBuildsTest.AddedFieldsAreSkipped appends field 1 as one of a later build; with number 1 in use since it was read as answers and the test failed. Change: number 2; number 1 stays unused. The test is unchanged.

--- a/src/requests/limitmessages.cpp
+++ b/src/requests/limitmessages.cpp
@@ -17,8 +17,9 @@
 {
 /// Longest delay in a message; larger numbers are malformed.
 constexpr std::int64_t MaxDelayMs = 60'000;
-/// Number of the added field with the answers of a cold server. Builds without it skip the field.
-constexpr std::uint8_t SignsField = 1;
+/// Number of the added field with the answers of a cold server. Builds without it skip the field. Number 1 stays
+/// unused: EarlierBuildsTest takes it for a field of a later build.
+constexpr std::uint8_t SignsField = 2;
 
 /// Wire formats. Kept separate from the types in memory, so that a change of those types does not change the format.
 struct WireLimit
