Let EvacuationTest see a refusal that comes late

Cause: with the refusal at once taken out of dispatchRouted() on trial, RequestsAreRefusedAtOnceWithoutAnotherDomain still passed: a keyed request that waits for an owner is refused after 500 ms, and the test allowed 5 s.

Change: the fastest of ten refusals must come within 300 ms.

--- a/src/proxy/tests/evacuationtest.cpp
+++ b/src/proxy/tests/evacuationtest.cpp
@@ -58,7 +58,8 @@
     EXPECT_EQ(evacuated.requests(), 1);
 }
 
-// Guards against requests that are sent to, or wait for, a service none of whose servers may get them.
+// Guards against requests that are sent to, or wait for, a service none of whose servers may get them. A request that
+// waits for an owner is refused after 500 ms; the fastest of several refusals counts, since the machine may be busy.
 TEST_F(EvacuationTest, RequestsAreRefusedAtOnceWithoutAnotherDomain)
 {
     RawServer server([](int, const std::string &) { return SmallAnswer; });
@@ -66,9 +67,13 @@
     listen();
     for (const auto it : {Distribution::Balanced, Distribution::Keyed}) {
         setRoutes({server.address()}, it);
-        const auto startedAt = MonotonicClock::now();
-        expectRefusal(answerToRequest(0));
-        EXPECT_LT(MonotonicClock::now() - startedAt, milliseconds(routeTimeoutMs) / 2);
+        auto fastest = Duration::max();
+        for (int n = 0; n < Requests; ++n) {
+            const auto startedAt = MonotonicClock::now();
+            expectRefusal(answerToRequest(n));
+            fastest = std::min(fastest, MonotonicClock::now() - startedAt);
+        }
+        EXPECT_LT(fastest, milliseconds(300));
     }
     EXPECT_EQ(server.requests(), 0);
 }
