Read no further requests of a caller that does not read its answers

Cause: complete answers were moved to a connection's output without a bound, so pipelined small requests of a caller that reads nothing grew it for ever. Change: no further head is read while 64 KB wait to be sent.

--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -128,6 +128,9 @@
 /// what it has started; the caller sends the rest again elsewhere.
 bool CallerPipeline::mayReadHead() const
 {
+    if (m_output.size() >= OutputBytes) {
+        return false; // the caller does not read its answers
+    }
     if (m_entries.empty()) {
         return true;
     }
--- a/src/proxy/tests/callerbudgettest.cpp
+++ b/src/proxy/tests/callerbudgettest.cpp
@@ -177,6 +177,22 @@
     EXPECT_FALSE(pipeline->canGiveWay());
 }
 
+// Guards against answers without a bound for a caller that sends small requests and reads nothing.
+TEST_F(GivingWayTest, AnswersThatNobodyReadsAreBounded)
+{
+    constexpr std::size_t answerBytes = 4'000;
+    constexpr std::size_t mostBytes = 65'536 + 2 * answerBytes;
+    for (std::size_t n = 0; n < 200 && pipeline->wantsInput(); ++n) {
+        receive("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        exchanges.back()->respond(200, {}, std::string(answerBytes, 'a'));
+        pipeline->pump(Start);
+    }
+    EXPECT_FALSE(pipeline->wantsInput());
+    EXPECT_LE(pipeline->output().size(), mostBytes);
+    pipeline->output().clear();
+    EXPECT_TRUE(pipeline->wantsInput());
+}
+
 // Guards against a head without an end that nothing can end.
 TEST_F(GivingWayTest, UnfinishedHeadEndsTheConnection)
 {
