Record the next holder of a range after its release

Cause: the record named the holder and the next one before the release, and until the next periodic write after the move.

Change: release, write of the record with the next holder in place of the former one, grant. The record names one server for each range, and the successor grants it to that one under its own token at once. A holder counts as recorded only if the write in flight names it as well. Releases answered within 40 ms share a write, and a release no longer waits for the next renewal. A holder that does not answer the successor is not planned to move while the move would wait for grants of the former leader.

--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -19,6 +19,11 @@
 /// After a suspension a daemon waits this long for an announcement of the leader before it takes over.
 constexpr Duration GraceAfterPause = milliseconds(400);
 constexpr Duration SummaryInterval = seconds(2);
+/// Time for which the next holders of released ranges wait for the answers to other releases, so that one write records
+/// them all.
+constexpr Duration ReleaseBatchTime = milliseconds(40);
+/// Time after a failed write of the record for which the store counts as unsteady; three periodic writes.
+constexpr Duration StoreSettleTime = seconds(5);
 
 ObjectKey recordKey(const std::string &service)
 {
@@ -195,6 +200,7 @@
     } else {
         m_isConfirmed = true;
         m_leadProof.confirmed(m_answeredReadSentAt);
+        runAsLeader(); // moves wait for the evidence
     }
 }
 
@@ -278,10 +284,12 @@
             m_role = LeaseRole::Follower;
         }
         m_nextRecordAt = m_now + ReadInterval;
+        m_writeFailedAt = m_now;
         if (event.status == WriteStatus::Unknown) {
             m_unresolvedWrites.push_back(m_writing);
             readRecord();
         }
+        returnToRecordedHolders();
         return;
     }
     m_unresolvedWrites.clear();
@@ -312,6 +320,8 @@
         decide(LeaseEvents::LeadershipHandedOver, {},
                fmt::format("epoch {}{}", m_epoch, m_isStopping ? "" : ", since this VM reaches no server"));
         sendPeer({}, LeaseMessage::Stopped, encode(notice()));
+    } else if (m_role == LeaseRole::Leader) {
+        runAsLeader(); // a released range has no owner until its next holder, now recorded, is granted it
     }
 }
 
@@ -386,16 +396,59 @@
     record.leader = isHandingOver() ? Identity() : m_settings.self;
     record.former = m_former;
     for (const auto &it : m_slices.all()) {
-        RecordedRange recorded{it.range, it.holder, it.target.value_or(Identity())};
-        if (const auto *other = m_slices.otherPossibleHolder(it.range, it.holder)) {
-            recorded.next = it.target.value_or(it.holder);
-            recorded.holder = other->server;
-        }
-        record.ranges.push_back(std::move(recorded));
+        record.ranges.push_back(recordedRange(it));
     }
     return record;
 }
 
+/// Names only servers that may hold the range, so that a successor that finds one name may grant the range to it at
+/// once. The next holder is named when the former one holds nothing any more; while writes fail, before the release, as
+/// a released range would have no owner until one succeeds.
+RecordedRange LeaseController::Private::recordedRange(const LeaseSlice &slice) const
+{
+    const bool isTargetNamed =
+        slice.target && (slice.holder.name.empty() || m_now < slice.targetHoldsUntil || !isStoreSteady());
+    RecordedRange recorded{slice.range, slice.holder, isTargetNamed ? *slice.target : Identity()};
+    const auto *other = m_slices.otherPossibleHolder(slice.range, slice.holder);
+    if (!other) {
+        return recorded;
+    }
+    recorded.holder = other->server;
+    const bool isHolderNamed = slice.mayBeHeld(m_now) || m_slices.isPossibleHolder(UnknownProcess);
+    recorded.next = isTargetNamed ? *slice.target : isHolderNamed ? slice.holder : Identity();
+    return recorded;
+}
+
+/// Gives released ranges back to the servers that the record names when it cannot be written, so that they are not
+/// without an owner until the store returns. No successor can know another holder, as no write is unresolved.
+void LeaseController::Private::returnToRecordedHolders()
+{
+    if (m_role != LeaseRole::Leader || !m_record || !m_unresolvedWrites.empty()) {
+        return;
+    }
+    for (auto &slice : m_slices.all()) {
+        if (slice.isBusy() || slice.holder.name.empty() || slice.mayBeHeld(m_now)
+            || isRecorded(slice.range, slice.holder)) {
+            continue;
+        }
+        const auto recorded = std::find_if(m_record->ranges.begin(), m_record->ranges.end(),
+                                           [&](const RecordedRange &it) { return it.range.overlaps(slice.range); });
+        const bool isUsable = recorded != m_record->ranges.end() && recorded->next.name.empty()
+            && server(recorded->holder) && !isExcluded(recorded->holder) && isRecorded(slice.range, recorded->holder)
+            && !m_slices.otherPossibleHolder(slice.range, recorded->holder);
+        if (!isUsable) {
+            continue;
+        }
+        decide(LeaseEvents::MovePlanned, slice.range,
+               fmt::format("back to {}, since the record cannot be written", recorded->holder.name));
+        slice.holder = recorded->holder;
+        dropToken(slice);
+        slice.failures = 0;
+        slice.nextCallAt = m_now;
+        slice.changedAt = m_now;
+    }
+}
+
 void LeaseController::Private::writeRecordIfNeeded()
 {
     if (m_openWrite != 0) {
@@ -403,20 +456,36 @@
     }
     auto wanted = wantedRecord();
     const bool hasChanged = !m_record || !(wanted == *m_record);
-    // The end of a move may be recorded with the next periodic write; a new holder must be recorded before its grant.
+    // A new holder must be recorded before its grant; other changes may wait for the next periodic write.
     const bool isUrgent = hasChanged
         && (wanted.leader.name.empty() || wanted.epoch != m_epoch
             || std::any_of(wanted.ranges.begin(), wanted.ranges.end(), [&](const RecordedRange &it) {
                    const auto &next = it.next.name.empty() ? it.holder : it.next;
                    return !next.name.empty() && !isRecorded(it.range, next);
                }));
-    if (m_now < m_nextRecordAt && !isUrgent) {
+    const bool isBatchOpen = isReleaseInFlight() && !wanted.leader.name.empty();
+    if (m_now < m_nextRecordAt && (!isUrgent || isBatchOpen)) {
         return;
     }
     writeRecord(wanted);
 }
 
-/// Whether a successor would find the server, whichever of the writes without an answer takes effect.
+/// Whether the answer to a release is likely to come in a moment, so that one write records several next holders.
+bool LeaseController::Private::isReleaseInFlight() const
+{
+    const auto &slices = m_slices.all();
+    return std::any_of(slices.begin(), slices.end(), [&](const LeaseSlice &it) {
+        return it.isReleasing && it.openCall != 0 && m_now < it.nextCallAt - m_settings.renewEvery + ReleaseBatchTime;
+    });
+}
+
+bool LeaseController::Private::isStoreSteady() const
+{
+    return m_now - m_writeFailedAt >= StoreSettleTime;
+}
+
+/// Whether a successor would find the server, whichever of the writes without an answer takes effect; the one in flight
+/// may also be the last that does.
 bool LeaseController::Private::isRecorded(const SliceRange &range, const Identity &server) const
 {
     const auto names = [&](const LeaseRecord &record) {
@@ -424,7 +493,9 @@
             return !it.range.overlaps(range) || it.holder == server || it.next == server;
         });
     };
-    return m_record && names(*m_record) && std::all_of(m_unresolvedWrites.begin(), m_unresolvedWrites.end(), names);
+    const bool isInFlightNamed = m_openWrite == 0 || names(m_writing);
+    return m_record && names(*m_record) && isInFlightNamed
+        && std::all_of(m_unresolvedWrites.begin(), m_unresolvedWrites.end(), names);
 }
 
 void LeaseController::Private::onMembers(const MembersEvent &event)
--- a/src/leases/controller_p.h
+++ b/src/leases/controller_p.h
@@ -13,6 +13,9 @@
 namespace Galenarock
 {
 
+/// A server or a daemon that is not known by name.
+inline const Identity UnknownProcess{"*", 0};
+
 enum class LeaseRole : std::uint8_t
 {
     Follower,
@@ -100,6 +103,11 @@
     void writeRecordIfNeeded();
     void writeRecord(const LeaseRecord &record);
     LeaseRecord wantedRecord() const;
+    RecordedRange recordedRange(const LeaseSlice &slice) const;
+    bool isReleaseInFlight() const;
+    /// Whether no write of the record has failed lately.
+    bool isStoreSteady() const;
+    void returnToRecordedHolders();
     bool isRecorded(const SliceRange &range, const Identity &server) const;
     std::vector<RecordedRange> initialRanges() const;
     void limitToOneGrant();
@@ -112,10 +120,16 @@
     // lease calls
     void plan();
     bool isGrantDue(const LeaseSlice &slice) const;
+    bool isFormerWaitLong(const LeaseSlice &slice) const;
     LeasePlanLimits planLimits() const;
     bool isExcluded(const Identity &server) const;
     void sendDueCalls();
     void sendDueCall(LeaseSlice &slice);
+    void sendMoveCall(LeaseSlice &slice);
+    /// Whether the holder may be asked to release the range: the next one is granted it only after a write of the
+    /// record.
+    bool mayRelease(const LeaseSlice &slice) const;
+    bool isRenewalDue(const LeaseSlice &slice) const;
     void sendGrant(LeaseSlice &slice);
     /// Keys of which the server holds none; empty if it may hold all.
     std::optional<SliceRange> unheldRange(const Identity &server) const;
@@ -178,6 +192,8 @@
     LeaseRecord m_writing;
     Instant m_writeSentAt{};
     Instant m_nextRecordAt{};
+    /// Last write that was not sent or got no answer.
+    Instant m_writeFailedAt{};
     Instant m_nextReadAt{};
     /// When the read was sent whose response is awaited; zero for none.
     Instant m_readSentAt{};
--- a/src/leases/leadproof_p.h
+++ b/src/leases/leadproof_p.h
@@ -63,7 +63,12 @@
     /// Until when the evidence is valid; in the past if there is none.
     Instant validUntil() const
     {
-        return std::max(m_confirmedAt + StoreLifetime, reportsValidUntil());
+        return std::max(storeValidUntil(), reportsValidUntil());
+    }
+    /// Until when the last response of the store is valid.
+    Instant storeValidUntil() const
+    {
+        return m_confirmedAt + StoreLifetime;
     }
     /// Call when the lead is taken: earlier evidence concerns another epoch.
     void reset()
--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -124,7 +124,15 @@
 /// once. After a release alone, the range could go to another server only when they have ended.
 bool LeaseController::Private::isGrantDue(const LeaseSlice &slice) const
 {
-    return !slice.isGranted && m_now < slice.unansweredUntil && slice.failures < FailuresToMove && server(slice.holder);
+    const bool isResponsive = slice.failures < FailuresToMove || isFormerWaitLong(slice);
+    return !slice.isGranted && m_now < slice.unansweredUntil && isResponsive && server(slice.holder);
+}
+
+/// Whether the grants of an earlier leader may be in force for longer than another grant of this one. A move would have
+/// to wait for them, while a holder that answers again can be granted the range at once.
+bool LeaseController::Private::isFormerWaitLong(const LeaseSlice &slice) const
+{
+    return latestGrantEnd(m_now) < slice.unansweredUntil;
 }
 
 void LeaseController::Private::plan()
@@ -157,6 +165,7 @@
         }
         slice->target = it.target;
         slice->changedAt = m_now;
+        slice->nextCallAt = m_now;
         decide(LeaseEvents::MovePlanned, it.range, fmt::format("from {} to {}", slice->holder.name, it.target.name));
     }
 }
@@ -178,33 +187,53 @@
     const bool hasEnded = m_now >= slice.holdsUntil && m_now >= slice.unansweredUntil;
     if (slice.target
         && (slice.holder.name.empty() || (hasEnded && slice.openCall == 0) || (hasEnded && slice.isReleasing))) {
-        if (isRecorded(slice.range, *slice.target)) {
-            finishRelease(slice, true);
-        }
+        finishRelease(slice, true);
     }
     if (slice.openCall != 0 || m_now < slice.nextCallAt || mayBeHandedOver()) {
         return;
     }
     if (slice.target) {
-        if (isRecorded(slice.range, *slice.target)) {
-            sendRelease(slice);
-        } else if (slice.isGranted) {
-            sendGrant(slice);
-        }
+        sendMoveCall(slice);
         return;
     }
     if (slice.holder.name.empty() || !server(slice.holder) || !isRecorded(slice.range, slice.holder)) {
         return;
     }
     // An unresponsive holder gets another grant only after its earlier ones have expired: each grant without a reply
-    // may still take effect and delays the move of the range.
+    // may still take effect and delays the move of the range, unless that has to wait for an earlier leader anyway.
     const bool mayBeHeldByOther = m_slices.otherPossibleHolder(slice.range, slice.holder) != nullptr;
-    if ((slice.failures >= FailuresToMove && !hasEnded) || (mayBeHeldByOther && !slice.isGranted)) {
+    const bool isSuspended = slice.failures >= FailuresToMove && !hasEnded && !isFormerWaitLong(slice);
+    if (isSuspended || (mayBeHeldByOther && !slice.isGranted)) {
         return;
     }
     sendGrant(slice);
 }
 
+/// While the store does not answer, the holder keeps the range: once released, the range has no owner until the record
+/// names the next one.
+void LeaseController::Private::sendMoveCall(LeaseSlice &slice)
+{
+    if (slice.isReleasing || !server(slice.holder) || mayRelease(slice)) {
+        sendRelease(slice);
+        return;
+    }
+    readRecord();
+    if (isRenewalDue(slice)) {
+        sendGrant(slice);
+    }
+}
+
+bool LeaseController::Private::mayRelease(const LeaseSlice &slice) const
+{
+    const bool isStoreAnswering = m_now < m_leadProof.storeValidUntil() && m_unresolvedWrites.empty();
+    return isRecorded(slice.range, *slice.target) || (isStoreAnswering && isStoreSteady());
+}
+
+bool LeaseController::Private::isRenewalDue(const LeaseSlice &slice) const
+{
+    return slice.isGranted && m_now >= slice.grantedUntil - m_settings.grantDuration + m_settings.renewEvery;
+}
+
 void LeaseController::Private::sendGrant(LeaseSlice &slice)
 {
     const auto *holder = server(slice.holder);
@@ -404,7 +433,8 @@
         break;
     }
     ++slice.failures;
-    slice.nextCallAt = m_now + RetryInterval;
+    slice.nextCallAt =
+        m_now + (isFormerWaitLong(slice) && slice.failures >= FailuresToMove ? m_settings.renewEvery : RetryInterval);
     if (slice.failures == FailuresToMove) {
         auto &exclusion = m_exclusions[slice.holder];
         if (exclusion.until <= m_now) {
--- a/src/leases/slices_p.h
+++ b/src/leases/slices_p.h
@@ -24,7 +24,7 @@
     SliceRange range;
     /// Server that holds the range or gets the next grant for it; an empty name means no server.
     Identity holder;
-    /// Server to which the range moves as soon as the stored record names it.
+    /// Server to which the range moves as soon as its holder has released it and the stored record names it.
     std::optional<Identity> target;
     /// Latest end of a grant that an earlier leader may have given to the target.
     Instant targetHoldsUntil{};
@@ -48,6 +48,11 @@
     std::uint32_t failures = 0;
     Instant changedAt{};
 
+    /// Whether a grant to the holder may be in force or may still take effect.
+    bool mayBeHeld(Instant now) const
+    {
+        return isGranted || openCall != 0 || now < holdsUntil || now < unansweredUntil;
+    }
     bool isBusy() const
     {
         return target.has_value() || isReleasing;
--- a/src/leases/takeover.cpp
+++ b/src/leases/takeover.cpp
@@ -21,8 +21,6 @@
 /// The epochs of a successor that cannot know the last one begin at the era times two to this power, above all epochs
 /// of earlier eras.
 constexpr unsigned EpochBitsPerEra = 16;
-/// A server or a daemon that is not known by name.
-const Identity UnknownProcess{"*", 0};
 /// Era of a store that has never been restored.
 constexpr std::uint64_t FirstEra = 1;
 /// Time for which all members must have been alive before no unknown leader is left: a member that does not answer is
--- /dev/null
+++ b/src/leases/tests/takeovermovestest.cpp
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+
+#include "leasesimulation_p.h"
+
+using namespace Galenarock;
+
+/// Takeovers while ranges move between servers.
+namespace
+{
+/// Time for which a range may have no owner when the leader is lost while it moves: detection, election, evidence of
+/// the former leader, and the first grant.
+constexpr std::int64_t OwnerlessLimitMs = 3'000;
+constexpr Duration SampleTime = milliseconds(10);
+/// Shorter than the leadership timeout.
+constexpr Duration StoreOutage = seconds(8);
+/// Longer than the leadership timeout and one grant.
+constexpr Duration ObservationTime = seconds(25);
+constexpr std::size_t Servers = 20;
+/// Moves pass through all their steps within this number of samples.
+constexpr int MovePhases = 20;
+
+/// The latest table that any daemon uses.
+const Assignment &latestTable(const LeaseSimulation &simulation)
+{
+    static const Assignment none;
+    const auto *latest = &none;
+    for (const auto &it : simulation.daemons) {
+        const auto *table = it.controller ? &it.controller->table() : &none;
+        if (std::tie(latest->epoch, latest->nextSequence) < std::tie(table->epoch, table->nextSequence)) {
+            latest = table;
+        }
+    }
+    return *latest;
+}
+
+/// Whether the server that the table names as the owner of the position holds it.
+bool isServed(const LeaseSimulation &simulation, const Assignment &table, KeyHash position)
+{
+    const auto *slice = table.slices.empty() ? nullptr : table.find(position);
+    if (!slice || slice->owner == noServer) {
+        return false;
+    }
+    const auto &owner = table.servers[slice->owner];
+    return std::any_of(simulation.servers.begin(), simulation.servers.end(), [&](const auto &it) {
+        return it.process == owner && it.server.holds(simulation.now, position);
+    });
+}
+
+/// Runs the simulation and returns the longest time, in milliseconds, for which one position had no owner.
+std::int64_t longestWithoutOwner(LeaseSimulation &simulation, Duration duration)
+{
+    std::map<KeyHash, Duration> unserved;
+    auto longest = Duration::zero();
+    for (const auto end = simulation.now + duration; simulation.now < end;) {
+        simulation.run(SampleTime);
+        const auto &table = latestTable(simulation);
+        for (const auto position : simulation.positions()) {
+            auto &time = unserved[position];
+            time = isServed(simulation, table, position) ? Duration::zero() : time + SampleTime;
+            longest = std::max(longest, time);
+        }
+    }
+    return duration_cast<milliseconds>(longest).count();
+}
+
+/// A simulation in which the ranges of six leaving servers have been moving for the time of so many samples.
+std::unique_ptr<LeaseSimulation> movingSimulation(int phase)
+{
+    auto simulation = std::make_unique<LeaseSimulation>(1, 3, Servers);
+    simulation->run(seconds(5));
+    for (std::size_t n = 0; n < 6; ++n) {
+        simulation->setLeaving(n);
+    }
+    simulation->run(phase * SampleTime);
+    return simulation;
+}
+}
+
+// The leader is lost while the ranges of six servers are planned to move, being released, or released and not granted
+// yet. Guards against a successor that waits for the grants of its predecessor to end by time (RECOVER): 17 s.
+TEST(TakeoverMovesTest, MovingRangesAreServedAgainAfterTheLossOfTheLeader)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase);
+        simulation->killDaemon(*simulation->leader());
+        EXPECT_LE(longestWithoutOwner(*simulation, ObservationTime), OwnerlessLimitMs) << phase;
+        EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
+
+// The successor is lost as well, before or after its first calls. Guards against a wait that the second takeover begins
+// again.
+TEST(TakeoverMovesTest, MovingRangesAreServedAgainAfterTheLossOfTwoLeaders)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase);
+        const auto first = *simulation->leader();
+        simulation->killDaemon(first);
+        while (!simulation->leader()) {
+            simulation->run(SampleTime);
+        }
+        simulation->run(phase * 3 * SampleTime);
+        simulation->killDaemon(*simulation->leader());
+        simulation->startDaemon(first);
+        EXPECT_LE(longestWithoutOwner(*simulation, ObservationTime), OwnerlessLimitMs) << phase;
+        EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
+
+// A server does not answer the first calls of the successor. Guards against moves of its ranges, which would have to
+// wait for the grants of the former leader although the server answers again (RECOVER).
+TEST(TakeoverMovesTest, HolderThatAnswersAgainKeepsItsRanges)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase);
+        simulation->killDaemon(*simulation->leader());
+        simulation->servers[12].server.isReachable = false;
+        simulation->run(seconds(2));
+        simulation->servers[12].server.isReachable = true;
+        EXPECT_LE(longestWithoutOwner(*simulation, ObservationTime), OwnerlessLimitMs) << phase;
+        EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
+
+// The store fails while ranges move. Guards against ranges that were released and have no owner until the store
+// returns, since their next holder cannot be recorded (RECOVER).
+TEST(TakeoverMovesTest, MovingRangesKeepAnOwnerWhenTheStoreFails)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase);
+        simulation->isStoreUp = false;
+        EXPECT_LE(longestWithoutOwner(*simulation, StoreOutage), OwnerlessLimitMs) << phase;
+        simulation->isStoreUp = true;
+        EXPECT_LE(longestWithoutOwner(*simulation, ObservationTime), OwnerlessLimitMs) << phase;
+        EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
+
+// Writes of the record get no answer and take effect late. Guards against released ranges that wait for more than the
+// next read of the record.
+TEST(TakeoverMovesTest, MovingRangesKeepAnOwnerWhenWritesGetNoAnswer)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase);
+        simulation->unansweredWriteShare = 0.4;
+        EXPECT_LE(longestWithoutOwner(*simulation, StoreOutage), OwnerlessLimitMs) << phase;
+        simulation->unansweredWriteShare = 0;
+        EXPECT_LE(longestWithoutOwner(*simulation, ObservationTime), OwnerlessLimitMs) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
+
+// A holder or the next one is lost, restarts or does not answer while the leader is lost. Guards against a second
+// holder, and against a range that stays without an owner once all servers answer.
+TEST(TakeoverMovesTest, LossOfAServerAndOfTheLeaderLeavesOneHolder)
+{
+    for (int phase = 0; phase < MovePhases; ++phase) {
+        for (int fault = 0; fault < 4; ++fault) {
+            for (const std::size_t server : {2U, 12U}) {
+                const auto simulation = movingSimulation(phase);
+                simulation->lateGrantShare = 0.2;
+                simulation->killDaemon(*simulation->leader());
+                simulation->run(phase % 3 * 40 * SampleTime);
+                auto &state = simulation->servers[server];
+                switch (fault) {
+                case 0:
+                    simulation->crashServer(server, false);
+                    break;
+                case 1:
+                    simulation->restartServerUnseen(server);
+                    break;
+                case 2:
+                    simulation->restartServer(server);
+                    break;
+                default:
+                    state.server.isReachable = false;
+                }
+                simulation->run(seconds(5));
+                state.server.isReachable = true;
+                if (fault == 1) {
+                    simulation->publishRestart(server);
+                }
+                simulation->lateGrantShare = 0;
+                simulation->run(ObservationTime);
+                EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase << " " << fault;
+                EXPECT_EQ(simulation->violation, "") << phase << " " << fault;
+            }
+        }
+    }
+}
+
+// The leader is suspended or cut off while ranges move, its successor completes or reverts the moves, and the former
+// leader goes on. Guards against grants of the former leader that take effect beside those of its successor (OWNER).
+TEST(TakeoverMovesTest, FormerLeaderThatGoesOnLeavesOneHolder)
+{
+    for (int phase = 0; phase < 3 * MovePhases; ++phase) {
+        const auto simulation = movingSimulation(phase % MovePhases);
+        simulation->lateGrantShare = phase < MovePhases ? 0 : 0.3;
+        const auto former = *simulation->leader();
+        auto &daemon = simulation->daemons[former];
+        if (phase % 2 == 0) {
+            daemon.isSuspended = true;
+        } else {
+            daemon.reachesPeers = false;
+            daemon.reachesStore = phase % 4 == 1;
+        }
+        simulation->run(milliseconds(500 + 100 * phase));
+        simulation->resume(former);
+        simulation->run(seconds(2));
+        daemon.reachesPeers = true;
+        daemon.reachesStore = true;
+        simulation->lateGrantShare = 0;
+        simulation->run(ObservationTime);
+        EXPECT_EQ(simulation->servedPositions(), simulation->positions().size()) << phase;
+        EXPECT_EQ(simulation->violation, "") << phase;
+    }
+}
