--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -38,6 +38,8 @@
     "grants NO_DEPUTY_STOP 1" "grants NO_NONCE 1" "grants NO_TOKEN 1" "grants NO_SUCCESSION_FENCE 1"
     "grants NO_HOLD_CAP 1" "grants NO_STAMP 1" "grants NO_IDENTITY 1" "grants NO_OWN_STOP 1"
     "takeover FULL 0" "takeover BEFORE 1" "takeover NO_WAIT 1" "takeover NO_ALL 1" "takeover NO_PROMISE 1"
+    "moves FULL 0" "moves COMPLETE 1" "moves REVERT 1" "moves NO_RECORD 1" "moves NO_UNANSWERED 1" "moves NO_TOKEN 1"
+    "moves NO_RESOLVED 1" "moves NO_WAIT 1"
     "permits FULL 0"
     "permits NO_PERMIT 1" "permits NO_EMPTY_RING 1" "permits NO_IN_FLIGHT 1"
 )
