Do not take a write of before a restore for evidence of the lead

Cause: versions repeat after the store was restored, so a write that a former leader made before, or without having seen the new era, may be applied and replace the record of its successor. It counted as evidence of the lead until the next read, and with the calls that now follow a write at once the former leader granted keys to a restarted server under a lower token (OWNER).

Change: such a write neither proves the lead nor starts lease calls; the read that follows a change of the era makes the leader write its record again.

Result: LeasesChaosTest seed 16254 with restores broke OWNER in a run of seeds 1 to 20,000 of the change before, and passes; it joins the regression seeds. Seeds 1 to 3,000 of both sets, 8100, 8987 and 17391 pass, and the 82 other tests of src/leases.

--- a/src/leases/controller.cpp
+++ b/src/leases/controller.cpp
@@ -302,9 +302,12 @@
     m_seenEpoch = std::max(m_seenEpoch, m_record->epoch);
     // A leader that took over in the lost time, if there is one, is heard of before the next write. Until then this
     // daemon leads no longer than it would have without the store.
-    m_confirmedAt = m_isRestoringRecord ? m_confirmedAt : m_writeSentAt;
+    // Nor is a write of before the restore evidence: versions repeat, so it may have replaced the record of that
+    // leader.
+    const bool isEvidence = !m_isRestoringRecord && !isOutdated(m_writing);
+    m_confirmedAt = isEvidence ? m_writeSentAt : m_confirmedAt;
     m_isConfirmed = true;
-    if (!m_isRestoringRecord) {
+    if (isEvidence) {
         m_leadProof.confirmed(m_writeSentAt);
     }
     if (m_role == LeaseRole::Leader && m_record->epoch > m_epoch) {
@@ -320,7 +323,7 @@
         decide(LeaseEvents::LeadershipHandedOver, {},
                fmt::format("epoch {}{}", m_epoch, m_isStopping ? "" : ", since this VM reaches no server"));
         sendPeer({}, LeaseMessage::Stopped, encode(notice()));
-    } else if (m_role == LeaseRole::Leader) {
+    } else if (m_role == LeaseRole::Leader && isEvidence) {
         runAsLeader(); // a released range has no owner until its next holder, now recorded, is granted it
     }
 }
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -1180,6 +1180,7 @@
 // Seeds that broke a rule before their fault was mended.
 INSTANTIATE_TEST_SUITE_P(Regressions, LeasesChaosTest,
                          testing::Values(std::make_tuple(4373, true), std::make_tuple(9266, false),
-                                         std::make_tuple(11372, true), std::make_tuple(19206, false)));
+                                         std::make_tuple(11372, true), std::make_tuple(16254, true),
+                                         std::make_tuple(19206, false)));
 INSTANTIATE_TEST_SUITE_P(RestoredStore, LeasesChaosTest,
                          testing::Combine(testing::Range(1, 101), testing::Values(true)));
