Leave daemons without a budget as they are

Cause: idle connections gave way, and stalled bodies ended, also where no memory or descriptors are stated (galenarockd). Change: both need a budget.

--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -383,6 +383,9 @@
 
 bool CallerListener::closeIdlest(Instant now)
 {
+    if (!m_settings.budget) {
+        return false;
+    }
     ConnectionPtr idlest;
     for (const auto &[fd, it] : m_connections) {
         const bool isIdle = it->pipeline.depth() == 0 && it->pipeline.output().empty();
@@ -455,6 +458,9 @@
 
 void CallerListener::endStalledBodies(Instant now)
 {
+    if (!m_settings.budget) {
+        return;
+    }
     std::vector<ConnectionPtr> stalled;
     for (const auto &[fd, it] : m_connections) {
         const bool isWaiting = it->pipeline.isWaitingForBody();
