End no answer whose server is slow when memory is short

Cause: an answer without progress for 10 s could end under an exhausted budget also when nothing waited to be sent, so that its server was slow. Change: only a connection with unsent bytes counts as unread.

--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -403,12 +403,14 @@
 }
 
 /// An answer that its caller reads is never ended.
-bool CallerListener::mayEnd(Instant now, const Connection &connection)
+bool CallerListener::mayEnd(Instant now, Connection &connection)
 {
     if (connection.isEnding || connection.isLingering) {
         return false;
     }
-    return connection.pipeline.canGiveWay() || now - connection.activeAt >= AnswerStall;
+    // Without output it is the server that sends nothing.
+    const bool isUnread = !connection.pipeline.output().empty() && now - connection.activeAt >= AnswerStall;
+    return connection.pipeline.canGiveWay() || isUnread;
 }
 
 CallerListener::ConnectionPtr CallerListener::firstToEnd(Instant now) const
--- a/src/proxy/callerlistener_p.h
+++ b/src/proxy/callerlistener_p.h
@@ -105,7 +105,7 @@
     /// Ends holders until callers hold no more than the budget.
     void enforceBudget(Instant now);
     ConnectionPtr firstToEnd(Instant now) const;
-    static bool mayEnd(Instant now, const Connection &connection);
+    static bool mayEnd(Instant now, Connection &connection);
     void end(Instant now, const ConnectionPtr &connection, std::string_view cause);
     /// Closes the connection that has been without a request for the longest time; false if there is none.
     bool closeIdlest(Instant now);
