--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -383,6 +383,9 @@
 
 bool CallerListener::closeIdlest(Instant now)
 {
+    if (!m_settings.budget) {
+        return false;
+    }
     ConnectionPtr idlest;
     for (const auto &[fd, it] : m_connections) {
         const bool isIdle = it->pipeline.depth() == 0 && it->pipeline.output().empty();
@@ -400,12 +403,14 @@
 }
 
 /// An answer that its caller reads is never ended.
-bool CallerListener::mayEnd(Instant now, const Connection &connection)
+bool CallerListener::mayEnd(Instant now, Connection &connection)
 {
     if (connection.isEnding || connection.isLingering) {
         return false;
     }
-    return connection.pipeline.canGiveWay() || now - connection.activeAt >= AnswerStall;
+    // Without output it is the server that sends nothing.
+    const bool isUnread = !connection.pipeline.output().empty() && now - connection.activeAt >= AnswerStall;
+    return connection.pipeline.canGiveWay() || isUnread;
 }
 
 CallerListener::ConnectionPtr CallerListener::firstToEnd(Instant now) const
@@ -455,6 +460,9 @@
 
 void CallerListener::endStalledBodies(Instant now)
 {
+    if (!m_settings.budget) {
+        return;
+    }
     std::vector<ConnectionPtr> stalled;
     for (const auto &[fd, it] : m_connections) {
         const bool isWaiting = it->pipeline.isWaitingForBody();
