End attempts whose timeout libcurl has forgotten

Cause: libcurl 7.88 sometimes drops the timeout of a transfer that it handles less than 1 ms before it; in a hung process it had no timer left, and the answer was paused since its caller did not read. Such a request was held for good, with its connection to the server, 100 s after a timeout of 0.4 s. Change: the client keeps the end of each attempt itself and ends it 10 ms after its timeout.

--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -43,11 +43,16 @@
     std::int64_t uploadBytes = 0;
     /// readBody has passed the whole body.
     bool isUploadRead = false;
+    /// When the attempt ends even if libcurl does not end it; Instant::max() for an attempt without a timeout.
+    Instant expiresAt = Instant::max();
 };
 
 namespace
 {
 constexpr std::size_t MaxIdleHandles = 64;
+/// Time after the timeout of an attempt until the client ends it itself. libcurl 7.88 sometimes forgets the timeout of
+/// a transfer that it handles less than 1 ms before; if the transfer is paused then, libcurl never ends it.
+constexpr Duration LostTimeoutGrace = milliseconds(10);
 
 /// Connections of this thread's clients.
 thread_local OpenConnections openConnections;
@@ -322,6 +327,10 @@
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, attempt->request.needsNewConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(attempt->request.timeoutMs));
     setBodyOptions(handle, *attempt);
+    if (attempt->request.timeoutMs > 0) {
+        attempt->expiresAt = MonotonicClock::now() + milliseconds(attempt->request.timeoutMs) + LostTimeoutGrace;
+        m_expiring.emplace(attempt->expiresAt, attempt);
+    }
     curl_multi_add_handle(m_multi, handle);
     return owned.release();
 }
@@ -329,6 +338,7 @@
 void UpstreamClient::release(Attempt *attempt)
 {
     const std::unique_ptr<Attempt> owned(attempt);
+    m_expiring.erase({attempt->expiresAt, attempt});
     curl_multi_remove_handle(m_multi, attempt->handle);
     if (m_idleHandles.size() < MaxIdleHandles) {
         curl_easy_reset(attempt->handle);
@@ -400,14 +410,19 @@
         curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
     }
     finishAttempts();
+    finishExpired(now);
 }
 
 int UpstreamClient::timeoutMs(Instant now) const
 {
-    if (!m_timerSet) {
+    auto next = m_timerSet ? m_timerAt : Instant::max();
+    if (!m_expiring.empty()) {
+        next = std::min(next, m_expiring.begin()->first);
+    }
+    if (next == Instant::max()) {
         return -1;
     }
-    const auto left = duration_cast<milliseconds>(m_timerAt - now).count();
+    const auto left = duration_cast<milliseconds>(next - now).count();
     return static_cast<int>(std::max<std::int64_t>(left, 0));
 }
 
@@ -488,18 +503,30 @@
             restart(attempt);
             continue;
         }
-        AttemptResult result;
-        result.sent = attempt->sends > 0;
-        result.complete = code == CURLE_OK && attempt->headDelivered && !isEndUncertain(*attempt);
-        result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
-        result.resendStopped = attempt->resendStopped;
-        result.isNewConnection = isOnNewConnection(attempt->handle);
-        result.status = attempt->head.status();
-        result.error = errorText(code, result.complete, *attempt);
-        updateIdleLimit(*attempt);
-        const auto onDone = std::move(attempt->hooks.onDone);
-        release(attempt);
-        onDone(result);
+        finish(attempt, code);
+    }
+}
+
+void UpstreamClient::finish(Attempt *attempt, CURLcode code)
+{
+    AttemptResult result;
+    result.sent = attempt->sends > 0;
+    result.complete = code == CURLE_OK && attempt->headDelivered && !isEndUncertain(*attempt);
+    result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
+    result.resendStopped = attempt->resendStopped;
+    result.isNewConnection = isOnNewConnection(attempt->handle);
+    result.status = attempt->head.status();
+    result.error = errorText(code, result.complete, *attempt);
+    updateIdleLimit(*attempt);
+    const auto onDone = std::move(attempt->hooks.onDone);
+    release(attempt);
+    onDone(result);
+}
+
+void UpstreamClient::finishExpired(Instant now)
+{
+    while (!m_expiring.empty() && m_expiring.begin()->first <= now) {
+        finish(m_expiring.begin()->second, CURLE_OPERATION_TIMEDOUT);
     }
 }
 
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -137,6 +138,9 @@
     static int socketCallback(CURL *, curl_socket_t fd, int what, void *self, void *socketData);
     static int timerCallback(CURLM *, long timeoutMs, void *self);
     void finishAttempts();
+    void finish(Attempt *attempt, CURLcode code);
+    /// Ends the attempts whose timeout libcurl has missed.
+    void finishExpired(Instant now);
     /// Starts an attempt again that must not go over the kept connection that was chosen for it.
     void restart(Attempt *attempt);
     void release(Attempt *attempt);
@@ -154,6 +158,8 @@
     long m_idleLimitSeconds = 60;
     /// Idle limits derived from the servers' Keep-Alive headers, by `http://ip:port`.
     std::unordered_map<std::string, long> m_advertisedIdleSeconds;
+    /// Running attempts that have a timeout, by Attempt::expiresAt.
+    std::set<std::pair<Instant, Attempt *>> m_expiring;
     std::vector<CURL *> m_idleHandles;
     std::vector<std::unique_ptr<Attempt>> m_idleAttempts;
 };
