Divide the store client into files with one job each

Cause: src/objectstore/storeclient.cpp had 857 lines with the thread, the queue, the watches, the feed and the decoding of responses in one class. Change: storeclient.cpp keeps the thread and the calls (264 lines). The queue of requests (RequestQueue) and the polling of the VM list (VmListPoll) are classes with their own state. The other functions moved to storewatches.cpp, storefeed.cpp, storereachability.cpp, storeera.cpp and storeresponses.cpp. WatchState::relistAt() and watchOf() each replace code that stood three to four times. No change of behaviour is intended.

--- a/src/objectstore/objectdelivery.cpp
+++ b/src/objectstore/objectdelivery.cpp
@@ -13,6 +13,12 @@
     listedNames.clear();
 }
 
+void WatchState::relistAt(Instant at)
+{
+    restartList();
+    nextAt = at;
+}
+
 void WatchState::endList()
 {
     restartList();
--- a/src/objectstore/objectdelivery_p.h
+++ b/src/objectstore/objectdelivery_p.h
@@ -41,6 +41,8 @@
     WatchChange listed;
 
     void restartList();
+    /// Lists the kind again, not before `at`.
+    void relistAt(Instant at);
     /// No list is needed: what is known is newer.
     void endList();
     /// For a store that continues from an older copy: lists the kind again, whose versions begin anew.
