Divide the gateway's control plane into files with one job each

The list of cold servers is a class with its own state (ColdServerList). The other functions moved to planeobjects.cpp (objects of the store), planejoining.cpp (peer key and entries of daemons), planeleases.cpp, planepeers.cpp (messages between daemons) and planestatus.cpp. handle() is divided by the source of the event. peerKeyObject(), setLeaseServers() and logMalformed() each replace code that stood two to five times. No change of behaviour is intended.

--- a/src/gateway/peerkey.cpp
+++ b/src/gateway/peerkey.cpp
@@ -6,6 +6,7 @@
 
 #include <sodium.h>
 
+#include <galenarock/gateway.h>
 #include <galenarock/peer.h>
 
 namespace Galenarock
@@ -33,6 +34,11 @@
     return std::tie(createdMs, hex) < std::tie(other.createdMs, other.hex);
 }
 
+ObjectKey peerKeyObject()
+{
+    return {ObjectKind::Fleet, "peer-key"};
+}
+
 SharedPeerKey newPeerKey()
 {
     PeerKey key;
--- a/src/gateway/peerkey_p.h
+++ b/src/gateway/peerkey_p.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <galenarock/base.h>
+#include <galenarock/platform.h>
 
 namespace Galenarock
 {
@@ -30,6 +31,8 @@
     }
 };
 
+/// The object of the store that holds the key.
+ObjectKey peerKeyObject();
 SharedPeerKey newPeerKey();
 nlohmann::json toJson(const SharedPeerKey &key);
 /// Fields that are missing or of another type are empty.
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -13,6 +13,7 @@
 #include <galenarock/serverlimits.h>
 #include <galenarock/watchfeed.h>
 
+#include "coldserverlist_p.h"
 #include "daemon/decisionlog_p.h"
 #include "evacuations_p.h"
 #include "peerkey_p.h"
@@ -119,42 +120,59 @@
     }
 
 private:
+    // The functions after each file name are defined in that file, the first ones in plane.cpp.
+    bool onStoreEvent(Instant now, const ControlEvent &event);
     void tick(Instant now);
+    void onStoreEra(Instant now, std::uint64_t era);
+    void stepMembership(Instant now, const ControlEvent &event);
+    void carryOut(LeaseActions actions);
+    void carryOut(ControlActions actions);
+    void applyChanges(Instant now);
+    void updateColdServers(Instant now);
+
+    // planeobjects.cpp
     void onObject(Instant now, const StoredObject &object);
     void onMissing(Instant now, const ObjectKey &key);
-    void onWritten(Instant now, const WriteResultEvent &event);
-    void onStoreEra(Instant now, std::uint64_t era);
+    void onSynced(Instant now, const KindSyncedEvent &event);
     void adoptConfiguration(Instant now, const StoredObject &object);
     void adoptServer(Instant now, const StoredObject &object);
-    void adoptDaemon(const StoredObject &object);
-    void onPeerKeyStored(const StoredObject &object);
-    bool isFleetHeard() const;
-    void checkPeerKey(Instant now);
-    void adoptPeerKey(const SharedPeerKey &stored);
-    void changePeerKey(const SharedPeerKey &stored);
-    void joinFleet(Instant now);
-    void writeDaemonEntry(std::uint64_t version);
+    void removeServer(Instant now, const std::string &name);
     void adoptEvacuation(Instant now, const std::string &domain);
     void endEvacuation(const std::string &domain);
     void evacuationsChanged();
     void serversChanged();
+
+    // planejoining.cpp
+    static MembershipSettings membershipSettings(const GatewayControlPlaneSettings &settings,
+                                                 const std::string &peerAddress);
+    void joinFleet(Instant now);
+    void writeDaemonEntry(std::uint64_t version);
+    void onWritten(const WriteResultEvent &event);
+    bool isFleetHeard() const;
+    void checkPeerKey(Instant now);
+    void onPeerKeyStored(const StoredObject &object);
+    void adoptPeerKey(const SharedPeerKey &stored);
+    void changePeerKey(const SharedPeerKey &stored);
+    void adoptDaemon(const StoredObject &object);
+
+    // planeleases.cpp
+    void refreshLeases(Instant now);
     void updateLeaseServers(Instant now);
-    void applyChanges(Instant now);
+    void setLeaseServers(Instant now, const std::string &service, LeaseController &controller);
+    void stepLeases(Instant now, const ControlEvent &event);
     void sendLoadReports(Instant now);
-    std::vector<ColdServer> coldServers(Instant now);
-    void updateColdServers(Instant now);
+
+    // planepeers.cpp
+    bool onPeerMessage(Instant now, const PeerEvent &event);
     void publishFeatures(Instant now);
     void receiveFeed(Instant now, const PeerEvent &event);
+    void updateFeed(Instant now);
+    void onServerLeaving(Instant now, const Identity &server);
     void receiveLeavingNotice(Instant now, const PeerEvent &event);
     bool markLeaving(Instant now, const Identity &server);
-    void onServerLeaving(Instant now, const Identity &server);
-    void updateFeed(Instant now);
-    void stepMembership(Instant now, const ControlEvent &event);
-    void stepLeases(Instant now, const ControlEvent &event);
-    void carryOut(LeaseActions actions);
-    void carryOut(ControlActions actions);
-    void refreshLeases(Instant now);
-    void publishStatus();
+
+    // planestatus.cpp
+    void publishStatus(Instant now);
     nlohmann::json builds() const;
 
     GatewayControlPlaneSettings m_settings;
@@ -168,15 +186,12 @@
     WatchFeedView m_feedView;
     VmList m_daemons;
     ServerDirectory m_servers;
+    ColdServerList m_coldServers;
     Evacuations m_evacuations;
     ServiceRoutes m_serviceRoutes;
     std::map<std::string, LeaseController> m_leases;
     /// ServerDirectory::revision() of the servers that each lease controller knows.
     std::map<std::string, std::uint64_t> m_leaseServerRevisions;
-    /// ServerDirectory::warmupRevision() and configuration of the last list of cold servers, and that list.
-    std::uint64_t m_warmupRevision = 0;
-    std::uint64_t m_warmupConfiguration = 0;
-    std::vector<ColdServer> m_coldServers;
     DecisionLog m_decisions;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     /// builds() as of the last change of a member or its build; null when outdated.
