--- a/src/ownership/placement.cpp
+++ b/src/ownership/placement.cpp
@@ -25,11 +25,6 @@
 }
 }
 
-double widthShare(const SliceRange &range)
-{
-    return std::ldexp(static_cast<double>(range.last - range.first) + 1, -64);
-}
-
 std::uint64_t preference(const Identity &server, KeyHash position)
 {
     // Finalizer of MurmurHash3: every input bit changes about half of the output bits.
--- a/src/ownership/placement_p.h
+++ b/src/ownership/placement_p.h
@@ -4,6 +4,8 @@
 
 #include <galenarock/placement.h>
 
+#include "rangewidth_p.h"
+
 namespace Galenarock
 {
 
@@ -71,9 +73,6 @@
     bool m_hasLoads = false;
 };
 
-/// Share of the hash space.
-double widthShare(const SliceRange &range);
-
 /// A slice's own order of preference for servers: highest first. Depends on the server's name, not on its boot number,
 /// so that a restarted server gets its slices back.
 std::uint64_t preference(const Identity &server, KeyHash position);
