Explain where a request to a gateway would go

Cause: galenarockctl explain existed for galenarockd only. An operator of a route-table deployment could not see which servers a request may go to, nor why a key or a service is refused, without sending a request.

ServiceRoute shows the sequence of its assignment and the server to which it gives a key, and the dialect reads a key as callers state it. Observations of the workers are not included, and the output says so.

--- a/include/galenarock/gateway.h
+++ b/include/galenarock/gateway.h
@@ -113,6 +113,7 @@
     /// `ip:port` that is bound for callers, with the actual port if the settings give port 0.
     std::string callerAddress() const;
     std::string readinessAddress() const;
+    std::string adminAddress() const;
 
 private:
     class Impl;
--- a/include/galenarock/requestdialect.h
+++ b/include/galenarock/requestdialect.h
@@ -76,6 +76,9 @@
     /// document.
     bool hasRouteTable = false;
     std::function<RequestInfo(const HeaderLookup &header)> readRequest;
+    /// Position of a key in the form in which callers state it; empty if it is malformed. Null for a deployment without
+    /// a route table.
+    std::function<std::optional<KeyHash>(std::string_view key)> readKey;
     /// Whether a header of the caller's request is not forwarded, because the daemon sets it.
     std::function<bool(std::string_view name)> isOverwrittenHeader;
     std::function<void(const AttemptInfo &info, HeaderLines &lines)> writeAttempt;
--- a/include/galenarock/routing.h
+++ b/include/galenarock/routing.h
@@ -111,6 +111,11 @@
     {
         return m_epoch;
     }
+    /// Assignment::nextSequence of the assignment, which grows with each change within an epoch; 0 without one.
+    std::uint64_t assignmentSequence() const
+    {
+        return m_assignmentSequence;
+    }
     std::size_t sliceCount() const
     {
         return m_sliceStarts.size();
@@ -124,6 +129,8 @@
     Owner owner(KeyHash hash) const;
     /// Same, but a draining owner is still returned until `drainHandoverPeriod` after RoutedServer::drainingSince.
     Owner owner(KeyHash hash, Instant now) const;
+    /// The server to which the assignment gives `hash`, also when it may not receive requests; noServer without one.
+    ServerIndex assignedServer(KeyHash hash) const;
     /// Index of the server with this name; noServer when there is none.
     ServerIndex serverNamed(std::string_view name) const;
 
@@ -139,6 +146,7 @@
     ServiceDocument m_document;
     std::shared_ptr<const std::vector<RoutedServer>> m_servers;
     std::uint32_t m_epoch = 0;
+    std::uint64_t m_assignmentSequence = 0;
     bool m_isEvacuated = false;
     /// First key position of each slice, sorted. Kept apart from the owners so that the search reads few cache lines.
     std::vector<KeyHash> m_sliceStarts;
--- a/src/ctl/arguments.cpp
+++ b/src/ctl/arguments.cpp
@@ -28,23 +28,26 @@
 {
     std::string_view name;
     std::size_t operandCount;
+    std::size_t maxOperandCount;
     RequiredAddress requiredAddress;
     std::string_view usage;
 };
 
 constexpr CommandInfo commandInfos[] = {
-    {"check", 1, RequiredAddress::None,
+    {"check", 1, 1, RequiredAddress::None,
      "check FILE            report everything that is wrong with a document; offline"},
-    {"put", 1, RequiredAddress::Platform,
+    {"put", 1, 1, RequiredAddress::Platform,
      "put FILE              check a document and store it, if nobody else changed it"},
-    {"get", 1, RequiredAddress::Platform, "get SERVICE           print the stored document"},
-    {"diff", 1, RequiredAddress::Platform,
+    {"get", 1, 1, RequiredAddress::Platform, "get SERVICE           print the stored document"},
+    {"diff", 1, 1, RequiredAddress::Platform,
      "diff FILE             compare the stored document with a file; exit 1 if they differ"},
-    {"history", 1, RequiredAddress::Platform, "history SERVICE       the last 50 accepted versions"},
-    {"status", 0, RequiredAddress::Either, "status                state of the daemons, from their admin addresses"},
-    {"owners", 1, RequiredAddress::Platform, "owners SERVICE        which backend server owns how much"},
-    {"explain", 2, RequiredAddress::Admin,
-     "explain SERVICE KEY   how a daemon would treat a request for a key, and why"},
+    {"history", 1, 1, RequiredAddress::Platform, "history SERVICE       the last 50 accepted versions"},
+    {"status", 0, 0, RequiredAddress::Either, "status                state of the daemons, from their admin addresses"},
+    {"owners", 1, 1, RequiredAddress::Platform, "owners SERVICE        which backend server owns how much"},
+    {"explain", 2, 4, RequiredAddress::Admin,
+     "explain SERVICE KEY   how a daemon would treat a request for a key, and why\n"
+     "  explain METHOD HOST PATH [KEY]\n"
+     "                        the same for a gateway, which routes by host and path"},
 };
 
 const CommandInfo *findCommand(std::string_view name)
@@ -172,9 +175,13 @@
             report(ErrorCode::UnknownField, arguments.command, "not a command; see --help");
             return;
         }
-        if (arguments.operands.size() != info->operandCount) {
+        const auto given = arguments.operands.size();
+        if (given < info->operandCount || given > info->maxOperandCount) {
+            const auto expected = info->operandCount == info->maxOperandCount
+                ? fmt::format("{}", info->operandCount)
+                : fmt::format("{} to {}", info->operandCount, info->maxOperandCount);
             report(ErrorCode::MissingField, arguments.command,
-                   fmt::format("{} operands are expected, {} given", info->operandCount, arguments.operands.size()));
+                   fmt::format("{} operands are expected, {} given", expected, given));
         }
         checkRequiredAddress(*info);
     }
--- a/src/ctl/clustercommands.cpp
+++ b/src/ctl/clustercommands.cpp
@@ -7,6 +7,8 @@
 
 #include <galenarock/assignment.h>
 
+#include "explanationtext_p.h"
+
 namespace Galenarock::Ctl
 {
 
@@ -175,17 +177,31 @@
     return result;
 }
 
+namespace
+{
+/// Two operands name a service and a key of galenarockd; more name a request to a gateway.
+std::string explainTarget(const std::vector<std::string> &operands)
+{
+    if (operands.size() == 2) {
+        return fmt::format("/explain?service={}&key={}", percentEncoded(operands[0]), percentEncoded(operands[1]));
+    }
+    return fmt::format("/explain?method={}&host={}&path={}&key={}", percentEncoded(operands[0]),
+                       percentEncoded(operands[1]), percentEncoded(operands[2]),
+                       operands.size() > 3 ? percentEncoded(operands[3]) : std::string());
+}
+}
+
 Result<CommandResult> explainCommand(const Context &context, const Arguments &arguments)
 {
-    const auto target = fmt::format("/explain?service={}&key={}", percentEncoded(arguments.operands.at(0)),
-                                    percentEncoded(arguments.operands.at(1)));
+    const auto target = explainTarget(arguments.operands);
     std::string errors;
     for (const auto &it : arguments.admin) {
         const auto reply = callAdmin(context, it, target);
         const auto body = json::parse(reply.body, nullptr, false);
         if (reply.status == 200 && !body.is_discarded()) {
             return CommandResult{ExitStatus::Done,
-                                 fmt::format("{}\n{}", toString(it), propertyLines(body)),
+                                 toString(it) + "\n"
+                                     + (body.contains("request") ? explanationText(body) : propertyLines(body)),
                                  {{"admin", toString(it)}, {"explanation", body}}};
         }
         if (reply.status != 0 && reply.status < 500) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "daemon/controlthread_p.h"
 #include "daemon/events_p.h"
 #include "events_p.h"
+#include "explanation_p.h"
 #include "leasecaller_p.h"
 #include "plane_p.h"
 
@@ -26,6 +27,8 @@
 namespace
 {
 constexpr Duration StopPollInterval = milliseconds(10);
+/// Longest value that an operator may state in a request for an explanation.
+constexpr std::size_t MaxExplainArgument = 8'192;
 /// Part of the time between SIGTERM and SIGKILL that is reserved for ending the threads.
 constexpr Duration ThreadStopReserve = milliseconds(500);
 /// Wait after the last request, so that buffered responses are still sent on keep-alive connections.
@@ -66,13 +69,17 @@
 
     Result<void> start();
     bool stop();
+    /// At the readiness address and the admin address.
     AdminResponse answerAdmin(const AdminRequest &request);
+    /// At the admin address only.
+    AdminResponse answerExplain(const AdminRequest &request);
 
     Settings settings;
     GatewayDialect dialect;
     Identity self;
     Metrics metrics;
     ProxyShared shared;
+    ExplanationState explanationState;
     Proxy proxy;
     std::unique_ptr<GatewayControlPlane> controlPlane;
     std::unique_ptr<ControlThread> control;
@@ -95,6 +102,7 @@
     void receivePeerMessage(PeerEvent event);
     void sendLimitMessage(const SendPeerAction &message);
     void addGauges();
+    ExplanationInput explanationInput();
 
     /// Values of the active configuration that this build does not know.
     std::atomic<std::size_t> m_unknownValues{0};
@@ -115,7 +123,9 @@
     , shared(metrics, self, settings.peerKey)
     , proxy(shared)
     , readiness([this](const AdminRequest &request) { return answerAdmin(request); })
-    , admin([this](const AdminRequest &request) { return answerAdmin(request); })
+    , admin([this](const AdminRequest &request) {
+        return request.path == "/explain" ? answerExplain(request) : answerAdmin(request);
+    })
 {
     shared.setDialect(std::make_shared<const RequestDialect>(dialect.requests));
     shared.setLocalDomain(settings.failureDomain);
@@ -152,12 +162,14 @@
         shared.relays().setMembers(self, settings.failureDomain, it);
     };
     hooks.snapshotChanged = [this](const std::shared_ptr<const RoutingSnapshot> &it) {
+        explanationState.snapshotChanged(MonotonicClock::now(), it);
         shared.setSnapshot(it);
     };
     hooks.unknownValuesChanged = [this](std::size_t n) {
         m_unknownValues.store(n);
     };
     hooks.evacuationsChanged = [this](std::size_t n) {
+        explanationState.evacuationsChanged(MonotonicClock::now());
         m_evacuatedDomains.store(n);
     };
     hooks.bootSeen = [this](const std::string &server, std::uint64_t boot) {
@@ -176,6 +188,7 @@
         return shared.serverLimits().rates();
     };
     hooks.coldServersChanged = [this](const std::vector<ColdServer> &it) {
+        explanationState.coldServersChanged(MonotonicClock::now(), it);
         shared.serverLimits().setColdServers(it);
     };
     hooks.reachesServers = [this] {
@@ -185,7 +198,9 @@
         shared.serverLimits().setFleetListed();
     };
     hooks.isStoreReachable = [this] {
-        return store->isReachable();
+        const bool isReachable = store->isReachable();
+        explanationState.storeSeen(MonotonicClock::now(), isReachable);
+        return isReachable;
     };
     hooks.setFeed = [this](const WatchFeedView &it) {
         store->setFeed(it);
@@ -457,6 +472,65 @@
     return {404, "application/json", "{\"error\":\"unknown path\"}\n"};
 }
 
+ExplanationInput Gateway::Impl::explanationInput()
+{
+    ExplanationInput input;
+    input.now = MonotonicClock::now();
+    input.snapshot = shared.snapshot();
+    input.times = explanationState.times();
+    input.localDomain = settings.failureDomain;
+    const auto status = controlPlane->status();
+    const auto evacuated = status.find("evacuated");
+    if (evacuated != status.end()) {
+        input.evacuatedDomains = evacuated->get<std::vector<std::string>>();
+    }
+    input.isCutOff = shared.serverReach().isCutOff();
+    input.isStopping = isStopping.load();
+    input.condition = [this, now = input.now, rates = shared.serverLimits().rates(),
+                       cold = explanationState.coldServers()](const Identity &server, std::uint32_t priority) {
+        ServerCondition condition;
+        condition.pausedUntil = shared.serverPauses().pausedUntil(now, server);
+        condition.refusedUntil = shared.serverLimits().refusedUntil(server, priority);
+        const auto rate = rates.find(server);
+        if (rate != rates.end()) {
+            condition.perSecond = rate->second;
+        }
+        const auto found = cold.find(server);
+        if (found != cold.end()) {
+            condition.coldOpenAt = found->second.openAt;
+            condition.coldUntil = found->second.until;
+        }
+        return condition;
+    };
+    input.decisions = [this](const std::string &service, KeyHash hash) {
+        return controlPlane->decisions().find(service, hash);
+    };
+    return input;
+}
+
+AdminResponse Gateway::Impl::answerExplain(const AdminRequest &request)
+{
+    const auto refuse = [](unsigned status, std::string_view error) {
+        return AdminResponse{status, "application/json", nlohmann::json{{"error", error}}.dump() + "\n"};
+    };
+    ExplainedRequest explained{
+        request.argument("method"), request.argument("host"), request.argument("path"), request.argument("key"), {}};
+    if (explained.host.empty() || explained.path.empty() || explained.path.front() != '/') {
+        return refuse(400, "this daemon routes by host and path: explain METHOD HOST PATH [KEY]");
+    }
+    for (const auto *it : {&explained.method, &explained.host, &explained.path, &explained.key}) {
+        if (it->size() > MaxExplainArgument) {
+            return refuse(400, "an argument is too long");
+        }
+    }
+    if (!explained.key.empty() && dialect.requests.readKey) {
+        explained.position = dialect.requests.readKey(explained.key);
+    }
+    auto explanation = Galenarock::explain(explained, explanationInput());
+    explanation["daemon"] = toString(self);
+    return {200, "application/json", explanation.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"};
+}
+
 Gateway::Gateway(Settings settings, GatewayDialect dialect)
     : m_impl(std::make_unique<Impl>(std::move(settings), std::move(dialect)))
 {
@@ -489,4 +563,9 @@
     return fmt::format("{}:{}", m_impl->settings.readiness.address, m_impl->readiness.port());
 }
 
+std::string Gateway::adminAddress() const
+{
+    return fmt::format("{}:{}", m_impl->settings.admin.address, m_impl->admin.port());
+}
+
 }
--- a/src/routing/snapshot.cpp
+++ b/src/routing/snapshot.cpp
@@ -164,6 +164,12 @@
     return {slice->server, token, Reason::None};
 }
 
+ServerIndex ServiceRoute::assignedServer(KeyHash hash) const
+{
+    const auto *slice = sliceOwner(hash);
+    return slice ? slice->server : noServer;
+}
+
 ServerIndex ServiceRoute::serverNamed(std::string_view name) const
 {
     for (std::size_t n = 0; n < servers().size(); ++n) {
@@ -187,6 +193,7 @@
     } else if (assignment && assignment->validate().empty() && !assignment->slices.empty()) {
         servers = keyedServers(input, previous, now);
         route->m_epoch = assignment->epoch;
+        route->m_assignmentSequence = assignment->nextSequence;
         route->m_sliceStarts.reserve(assignment->slices.size());
         route->m_owners.reserve(assignment->slices.size());
         for (const auto &it : assignment->slices) {
