--- a/src/ctl/explanationtext.cpp
+++ b/src/ctl/explanationtext.cpp
@@ -154,7 +154,7 @@
     std::vector<std::string> lines;
     for (const auto &it : inputs) {
         const auto ms = field(it, "ageMs");
-        lines.push_back(fmt::format("{}: {}", field(it, "input"), ms.empty() ? "unknown" : ms + " ms"));
+        lines.push_back(fmt::format("{}: {}", field(it, "input"), ms.empty() ? "never" : ms + " ms"));
     }
     return lines.empty() ? std::string() : "inputs, time since each last changed\n" + indented(lines);
 }
--- a/src/gateway/explanation.cpp
+++ b/src/gateway/explanation.cpp
@@ -295,10 +295,10 @@
         service["servers"] = allServers;
         service["openServers"] = openServers;
         service["candidates"] = json::array();
-        for (auto *list : {&open, &closed}) {
-            for (auto &it : *list) {
+        for (const auto *list : {&open, &closed}) {
+            for (const auto &it : *list) {
                 if (service["candidates"].size() < m_maxServers) {
-                    service["candidates"].push_back(std::move(it.server));
+                    service["candidates"].push_back(it.server);
                 }
             }
         }
@@ -306,8 +306,10 @@
         if (route.isEvacuated()) {
             service["outcome"] = refused(Reason::Evacuated);
         } else if (openServers > 0) {
-            service["outcome"] = sent(fmt::format("one of {} servers", openServers),
-                                      "the one with the shortest expected delay, as a worker observes it");
+            service["outcome"] = openServers == 1
+                ? sent(open.front().server["server"].get<std::string>())
+                : sent(fmt::format("one of {} servers", openServers),
+                       "the one with the shortest expected delay, as a worker observes it");
         } else {
             service["outcome"] = refused(leftOut == Reason::None ? Reason::NoServer : leftOut,
                                          allServers == 0 ? "no server of the service is registered" : "");
@@ -337,9 +339,6 @@
         }
         const auto hash = *m_request.position;
         const auto owner = route.owner(hash, m_input.now);
-        if (route.sliceCount() > 0) {
-            service["token"] = Galenarock::toString(owner.token);
-        }
         if (m_input.decisions) {
             service["decisions"] = m_input.decisions(route.document().service, hash);
         }
@@ -353,6 +352,8 @@
                                                     "moved, or its last owner was lost");
             return;
         }
+        // The epoch of the table and the sequence of the fencing token, which may be of an earlier epoch.
+        service["token"] = Galenarock::toString(owner.token);
         auto judgement = judge(route.servers()[assigned], true);
         service["owner"] = std::move(judgement.server);
         if (owner.reason != Reason::None) {
--- a/src/gateway/tests/explanationtest.cpp
+++ b/src/gateway/tests/explanationtest.cpp
@@ -175,6 +175,7 @@
 {
     const auto unowned = explainCart(100);
     EXPECT_TRUE(unowned["owner"].is_null());
+    EXPECT_FALSE(unowned.contains("token"));
     EXPECT_EQ(unowned["outcome"]["status"], 503);
     EXPECT_EQ(unowned["outcome"]["reason"], "owner-unavailable");
     EXPECT_EQ(unowned["outcome"]["mayWaitForOwner"], true);
