Give up silent attempts at servers that never answer when they are full

Cause: a server that cannot queue a request never answers it, and the request waits until its deadline (Strojna: 1,549 of 2,296 failed requests). Change: once a service's servers have shown the pattern (SilenceWatch), an attempt without any byte beyond the service's bound counts as a refusal (AttemptEnd::Silent). An idempotent one of a service without keys is cancelled and sent to another server if AttemptPlan and RetryBudget grant it; all others wait. Not done: the rule on servers whose slots and queue are full.

--- a/include/galenarock/requests.h
+++ b/include/galenarock/requests.h
@@ -60,8 +60,9 @@
     ServerPaused,
     ServersUnreachable,
     InternalError,
-    /// Behind InternalError, since ledger records hold the numbers of the reasons.
+    /// Behind InternalError, since ledger records hold the numbers of the reasons. New ones follow at the end.
     Evacuated,
+    ServerSilent,
 };
 
 /// Code text of a reason (`not-owner`), its HTTP status, and its outcome when a caller is refused for it.
--- a/include/galenarock/serverchoice.h
+++ b/include/galenarock/serverchoice.h
@@ -57,6 +57,9 @@
     Answered,
     /// Refused with `shed`: the server is healthy but overloaded.
     Shed,
+    /// No byte of an answer within the bound of the service, whose servers go silent when they are full (SilenceWatch).
+    /// Counts as a refusal; several in a row without any answer eject the server, since it may be lost.
+    Silent,
     /// Refused with `cold` or `draining`.
     NotReady,
     /// Connect failure, lost connection, incomplete response, deadline passed, or a 5xx that is not a refusal.
@@ -153,6 +156,9 @@
     ServerHandle started(Instant now, ServerIndex server);
     /// Records the end of an attempt; call once per handle.
     void finished(Instant now, ServerHandle handle, const AttemptObservation &observation);
+    /// Records AttemptEnd::Silent for an attempt that goes on. Call at most once per handle; when the attempt then ends
+    /// without an answer, pass AttemptEnd::Cancelled to finished().
+    void silent(Instant now, ServerHandle handle);
     /// Requests of this daemon in flight at one server; cheaper than views(). 0 for an unknown index.
     std::uint32_t inFlight(ServerIndex server) const;
     /// View of one server; a default view with noServer for an unknown index. Does not apply panic mode.
@@ -219,6 +225,7 @@
     void answered(Instant now, Entry &entry, Duration latency);
     void updateAdaptiveLimit(Entry &entry, double latencySeconds);
     void addPenalty(Instant now, Entry &entry, double requests);
+    void countFailure(Instant now, Entry &entry, double penalty);
     static void updateThrottle(Instant now, Entry &entry, const AttemptObservation &observation);
     void eject(Instant now, Entry &entry);
     double decayedPenalty(Instant now, const Entry &entry) const;
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -25,6 +25,8 @@
 inline constexpr EventType AnswerMismatched{221, Severity::Warning, "answer-mismatched"};
 inline constexpr EventType ServerPaused{222, Severity::Info, "server-paused"};
 inline constexpr EventType PauseMalformed{223, Severity::Warning, "server-pause-malformed"};
+inline constexpr EventType SilenceShown{350, Severity::Warning, "servers-go-silent"};
+inline constexpr EventType AttemptSilent{351, Severity::Info, "attempt-silent"};
 inline constexpr EventType CallerGaveWay{230, Severity::Info, "caller-gave-way"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
--- a/src/proxy/pendingrequest_p.h
+++ b/src/proxy/pendingrequest_p.h
@@ -135,6 +135,14 @@
     std::optional<ReportedLoad> load;
     /// ServerView::outstanding when the attempt started.
     double outstandingAtStart = 0;
+    /// ServerView::slots when the attempt started.
+    double slotsAtStart = 1;
+    /// When the current attempt was first seen to have sent its whole request and received nothing; zero before.
+    Instant awaitingSince{};
+    /// The current attempt has received nothing for longer than the bound of its service.
+    bool isSilent = false;
+    /// This has been recorded in the service's observations.
+    bool isSilenceCounted = false;
     /// Why the response must not be sent to the caller; Reason::None when it may be sent.
     Reason defect = Reason::None;
     /// When the request first found that its key has no owner.
--- a/src/proxy/permits.cpp
+++ b/src/proxy/permits.cpp
@@ -46,6 +46,7 @@
     case AttemptEnd::Shed:
         signs.refused = 1;
         break;
+    case AttemptEnd::Silent:
     case AttemptEnd::Failed:
         signs.silent = 1;
         break;
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -428,6 +428,9 @@
     request->defect = Reason::None;
     request->prefixSent = 0;
     request->attemptStartedAt = m_now;
+    request->awaitingSince = {};
+    request->isSilent = false;
+    request->isSilenceCounted = false;
     request->plan->sending();
     request->attempt = m_upstream.start(std::move(attempt), makeHooks(request));
 }
--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -115,6 +115,20 @@
     /// Whether the request may run for longer than this VM, which is stopping.
     bool mayOutlastVm(const PendingRequest &request) const;
     void refuseForStop(const Pending &request);
+    // servers that go silent when they are full (silentattempts.cpp)
+    /// Records the first byte of a server's answer.
+    void noteFirstByte(const PendingRequest &request);
+    /// Records an attempt that has ended at its deadline without any byte of an answer.
+    void noteUnanswered(const PendingRequest &request);
+    /// Finds the attempts that have received nothing for longer than the bound of their service.
+    void checkSilences();
+    bool isBeyondBound(PendingRequest &request) const;
+    void handleSilence(const Pending &request);
+    /// Whether another server may run the request after this one was silent.
+    bool mayRunElsewhere(const PendingRequest &request);
+    /// Takes the retry of a silent attempt from the plan and the budget, and returns its delay; empty if there is none.
+    std::optional<Duration> takeRetryOfSilent(PendingRequest &request);
+
     // callers that have left (leftcallers.cpp)
     /// Whether the caller closed its connection, or its end of it, without waiting for the answer.
     static bool hasCallerLeft(const PendingRequest &request);
@@ -200,6 +214,7 @@
     std::shared_ptr<const RoutingSnapshot> m_retriedSnapshot;
     std::mt19937_64 m_random;
     Instant m_nextExpiryCheck{};
+    Instant m_lastSilenceCheck{};
     std::uint64_t m_nextTicket = 1;
     Instant m_now{};
     Instant m_nextSweep{};
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -71,6 +71,8 @@
     case Reason::ServerShed:
     case Reason::DeadlineTooShort:
         return AttemptEnd::Shed;
+    case Reason::ServerSilent:
+        return AttemptEnd::Silent;
     case Reason::ServerCold:
     case Reason::ServerDraining:
     case Reason::NotOwner:
@@ -180,10 +182,14 @@
         const bool mayStillRun = result.sent && !result.complete;
         m_shared.uncheckedPools().leave(std::exchange(request.uncheckedTicket, 0), mayStillRun);
     }
-    noteReach(request, result);
+    if (reason != Reason::ServerSilent) { // full servers say nothing about whether this VM reaches them
+        noteReach(request, result);
+    }
     const auto latency = m_now - request.attemptStartedAt;
+    const bool isCounted = request.isSilenceCounted && result.timedOut && request.responseStatus == 0;
+    const auto end = isCounted ? AttemptEnd::Cancelled : attemptEndOf(reason, request.responseStatus);
     request.traffic->observations.finished(m_now, request.handle,
-                                           {attemptEndOf(reason, request.responseStatus), latency,
+                                           {end, latency,
                                             request.rule ? request.load : parseReportedLoad(request.reportedLoad),
                                             request.outstandingAtStart});
     observeColdAnswer(request, attemptEndOf(reason, request.responseStatus), latency);
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -268,6 +268,7 @@
         return;
     }
     request->outstandingAtStart = view.outstanding;
+    request->slotsAtStart = view.slots;
     if (isKeyed) {
         traffic.unownedSince.erase(request->hash);
     }
@@ -443,6 +444,9 @@
         }
         return true;
     }
+    if (!isRelayed) {
+        noteFirstByte(*request);
+    }
     if (info.isEncoded) {
         request->defect = Reason::ResponseCut;
         return false;
@@ -494,6 +498,9 @@
     const bool isComplete =
         result.complete && request->serverRefusal == Reason::None && request->defect == Reason::None;
     const auto reason = isComplete ? Reason::None : failureOf(*request, result);
+    if (result.timedOut && request->responseStatus == 0) {
+        noteUnanswered(*request);
+    }
     recordAttempt(*request, result, reason);
     request->plan->ended(!result.sent || request->serverRefusal != Reason::None);
     if (request->streamsResponse) {
@@ -560,6 +567,7 @@
     m_retriedSnapshot = snapshot;
     m_shared.serverLimits().step(m_now);
     continuePermitted();
+    checkSilences();
     if (m_now >= m_nextLoad) {
         m_nextLoad = m_now + KeyLoadInterval;
         reportKeyLoads();
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -35,6 +35,9 @@
     , answered(metrics.counter("galenarock_answered_total", serviceLabel(document)))
     , attempts(metrics.counter("galenarock_attempts_total", serviceLabel(document)))
     , repeated(metrics.counter("galenarock_repeated_answers_total", serviceLabel(document)))
+    , silentCancelled(
+          metrics.counter("galenarock_silent_attempts_total", serviceLabel(document) + ",then=\"cancelled\""))
+    , silentWaiting(metrics.counter("galenarock_silent_attempts_total", serviceLabel(document) + ",then=\"waiting\""))
     , latency(metrics.histogram("galenarock_request_seconds", serviceLabel(document)))
     , admission(document, 1)
     , budget(document.retry.budgetPercent)
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -16,6 +16,7 @@
 #include <galenarock/serverchoice.h>
 #include <galenarock/serverpauses.h>
 #include <galenarock/sharedserverlimits.h>
+#include <galenarock/silence.h>
 
 #include "pendingrequest_p.h"
 
@@ -66,12 +67,17 @@
     Counter &answered;
     Counter &attempts;
     Counter &repeated;
+    /// Attempts without any byte of an answer after the bound, at servers that go silent when full: cancelled for
+    /// another attempt, and those that go on.
+    Counter &silentCancelled;
+    Counter &silentWaiting;
     LatencyHistogram &latency;
     ServerObservations observations;
     Admission admission;
     RetryBudget budget;
     LoadCounter load;
     KeyLoadCounter keyLoad;
+    SilenceWatch silence;
     /// Service times last reported to the leader, by server.
     std::map<Identity, double> reportedServiceSeconds;
     /// Key positions without an owner, with the time at which this was first seen.
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -359,6 +359,11 @@
     return attempt->sends > 0;
 }
 
+bool UpstreamClient::isAwaitingAnswer(const Attempt *attempt)
+{
+    return isSent(attempt) && attempt->headBytes == 0 && isUploadSent(*attempt);
+}
+
 AttemptConnection UpstreamClient::connectionOf(const Attempt *attempt)
 {
     const auto *connection = openConnections.at(attempt->socket);
--- a/src/proxy/upstream_p.h
+++ b/src/proxy/upstream_p.h
@@ -118,6 +118,8 @@
     void cancel(Attempt *attempt);
     /// Whether the server may have received a part of the request.
     static bool isSent(const Attempt *attempt);
+    /// Whether the whole request has been sent and no byte of a response has arrived.
+    static bool isAwaitingAnswer(const Attempt *attempt);
     /// The connection of an attempt whose response has begun; empty before the request was sent.
     static AttemptConnection connectionOf(const Attempt *attempt);
     /// Sends no request with the id of this attempt over its connection any more: a copy of the response that has begun
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -63,8 +63,10 @@
     ReasonInfo{Reason::InternalError, "internal-error", 500, Unknown, "internal error"},
     ReasonInfo{Reason::Evacuated, "evacuated", 503, NotRun,
                "all servers of the service are in failure domains that are being evacuated"},
+    ReasonInfo{Reason::ServerSilent, "server-silent", 504, Unknown,
+               "the server gave no byte of an answer for longer than its service usually takes"},
 };
-static_assert(ReasonTable.size() == static_cast<std::size_t>(Reason::Evacuated) + 1);
+static_assert(ReasonTable.size() == static_cast<std::size_t>(Reason::ServerSilent) + 1);
 }
 
 const ReasonInfo &reasonInfo(Reason reason)
--- a/src/routing/observations.cpp
+++ b/src/routing/observations.cpp
@@ -253,6 +253,7 @@
         }
         break;
     case AttemptEnd::Shed:
+    case AttemptEnd::Silent:
         entry.throttle.refused(now);
         break;
     case AttemptEnd::Failed:
@@ -295,21 +296,39 @@
     case AttemptEnd::Shed:
         addPenalty(now, entry, ShedPenalty);
         break;
+    case AttemptEnd::Silent:
+        countFailure(now, entry, ShedPenalty);
+        break;
     case AttemptEnd::NotReady:
         eject(now, entry);
         break;
     case AttemptEnd::Failed:
-        addPenalty(now, entry, FailurePenalty);
-        ++entry.consecutiveFailures;
-        if (entry.isEjected || entry.consecutiveFailures >= m_settings.failuresToEject) {
-            eject(now, entry);
-        }
+        countFailure(now, entry, FailurePenalty);
         break;
     case AttemptEnd::Cancelled:
         break;
     }
 }
 
+void ServerObservations::silent(Instant now, ServerHandle handle)
+{
+    auto &entry = m_entries.at(handle);
+    if (entry.index == noServer) {
+        return;
+    }
+    entry.throttle.refused(now);
+    countFailure(now, entry, ShedPenalty);
+}
+
+void ServerObservations::countFailure(Instant now, Entry &entry, double penalty)
+{
+    addPenalty(now, entry, penalty);
+    ++entry.consecutiveFailures;
+    if (entry.isEjected || entry.consecutiveFailures >= m_settings.failuresToEject) {
+        eject(now, entry);
+    }
+}
+
 void ServerObservations::answered(Instant now, Entry &entry, Duration latency)
 {
     if (entry.isEjected) {
--- a/src/routing/tests/serverchoicetest.cpp
+++ b/src/routing/tests/serverchoicetest.cpp
@@ -55,6 +55,48 @@
     }
 }
 
+// Guards against taking a silence for a slow answer, or for no sign at all: a server that goes silent when it is full
+// counts as one that refuses.
+TEST(ServerChoice, silenceCountsAsRefusal)
+{
+    ServerObservations silent;
+    ServerObservations waiting;
+    ServerObservations shedding;
+    for (auto *it : {&silent, &waiting, &shedding}) {
+        it->setServers(at(0), servers(1), {4, 10});
+    }
+    for (int n = 0; n < 2; ++n) {
+        recordAttempt(silent, n, 0, AttemptEnd::Silent, 1'000);
+        recordAttempt(shedding, n, 0, AttemptEnd::Shed);
+        const auto handle = waiting.started(at(n), 0);
+        waiting.silent(at(n), handle);
+        waiting.finished(at(n), handle, {AttemptEnd::Cancelled, milliseconds(1'000), {}});
+    }
+    EXPECT_GT(shedding.throttleProbability(at(2), 0), 0);
+    for (auto *it : {&silent, &waiting}) {
+        EXPECT_EQ(it->view(at(2), 0).penalty, shedding.view(at(2), 0).penalty);
+        EXPECT_EQ(it->throttleProbability(at(2), 0), shedding.throttleProbability(at(2), 0));
+        EXPECT_EQ(it->view(at(2), 0).latencySeconds, 0);
+        EXPECT_EQ(it->inFlight(0), 0U);
+        EXPECT_TRUE(it->views(at(2))[0].eligible);
+    }
+}
+
+// Guards against requests to a lost machine whose silences are taken for those of a full server: several in a row
+// without any answer eject it.
+TEST(ServerChoice, serverThatIsOnlySilentIsEjected)
+{
+    ServerObservations observations;
+    observations.setServers(at(0), servers(3), {4, 10});
+    for (int n = 0; n < 4; ++n) {
+        recordAttempt(observations, n, 0, AttemptEnd::Silent);
+        recordAttempt(observations, n, 1, AttemptEnd::Silent);
+        recordAttempt(observations, n, 1, AttemptEnd::Answered);
+    }
+    EXPECT_FALSE(observations.views(at(5))[0].eligible);
+    EXPECT_TRUE(observations.views(at(5))[1].eligible);
+}
+
 // Guards against a server that reports no load and fails immediately attracting all traffic: after three failures it is
 // ejected and receives one probe at a time, with exponential back-off.
 TEST(ServerChoice, fastFailingServerIsEjectedAndProbed)
