--- a/src/proxy/tests/silentattemptstest.cpp
+++ b/src/proxy/tests/silentattemptstest.cpp
@@ -21,7 +21,7 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_listenFd, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        EXPECT_EQ(bind(m_listenFd, reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
         listen(m_listenFd, 16);
         socklen_t n = sizeof address;
         getsockname(m_listenFd, reinterpret_cast<sockaddr *>(&address), &n);
