--- a/src/proxy/requesthandler_p.h
+++ b/src/proxy/requesthandler_p.h
@@ -65,6 +65,7 @@
     void reportMismatch(const PendingRequest &request, unsigned status, const std::string &id) const;
     bool handleRoutedHead(const Pending &request, unsigned status, std::vector<HeaderField> headers);
     void handleRoutedDone(const Pending &request, const AttemptResult &result);
+    Duration ownerFullDelay(const PendingRequest &request, Reason reason, const AttemptResult &result);
     bool startStreaming(const Pending &request);
     static bool mayCollect(const PendingRequest &request, std::size_t n);
     // requests through other VMs (relaying.cpp)
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -487,6 +487,20 @@
     return true;
 }
 
+/// A server with a long queue resets new connections. Only the owner of a key may run the request, so a retry at once
+/// would meet the same queue; after this time it has become shorter, or a hot range has moved. Zero for other failures.
+Duration RequestHandler::ownerFullDelay(const PendingRequest &request, Reason reason, const AttemptResult &result)
+{
+    const bool isKeyed = request.traffic->route->document().distribution == Distribution::Keyed;
+    const bool isReset = reason == Reason::ConnectionLost && result.isNewConnection;
+    if (!isKeyed || !isReset) {
+        return Duration::zero();
+    }
+    const auto delay = duration_cast<Duration>(OverloadRetryAfter * (1 + RetryAfterJitter * uniform()));
+    const auto service = fromSeconds(request.traffic->observations.view(m_now, request.server).serviceSeconds);
+    return m_now + delay + service + hopAllowance < request.deadline ? delay : Duration::zero();
+}
+
 void RequestHandler::handleRoutedDone(const Pending &request, const AttemptResult &result)
 {
     if (!request->relay.vm.empty()) {
@@ -536,7 +550,7 @@
                  request->requestId, reasonInfo(report.reason).code, request->serverIdentity.name,
                  request->responseStatus, duration_cast<milliseconds>(decision.delay).count(),
                  request->plan->attempts(), request->rule->maxAttempts);
-        m_delayed.push_back({m_now + decision.delay, request});
+        m_delayed.push_back({m_now + std::max(decision.delay, ownerFullDelay(*request, reason, result)), request});
         return;
     }
     if (isRetryableError) {
--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -517,3 +517,28 @@
     EXPECT_TRUE(runUntil([&] { return worker.connectionCount() == 0; }));
     EXPECT_EQ(shared.inFlight().load(), 0);
 }
+
+// Guards against a retry at once at the owner of a key that has just reset a new connection, as servers with a long
+// queue do: it meets the same queue, and the caller gets 502 although the owner would take the request a moment later.
+TEST_F(WorkerTest, RequestResetByAFullOwnerIsTriedAgainLater)
+{
+    constexpr int requestsForARetry = 12; // of which the retry budget gets a tenth each
+    constexpr auto fullFor = milliseconds(150);
+    Instant fullUntil{};
+    RawServer server(
+        [&](int number, const std::string &) {
+            if (number == requestsForARetry + 1) {
+                fullUntil = MonotonicClock::now() + fullFor;
+            }
+            return std::string(MonotonicClock::now() < fullUntil ? "" : SmallAnswer);
+        },
+        RawServer::AfterAnswer::Close);
+    maxAttempts = 2;
+    setRoutes({server.address()}, Distribution::Keyed);
+    listen();
+    for (int n = 0; n < requestsForARetry; ++n) {
+        EXPECT_EQ(answerToRequest(0).compare(0, 12, "HTTP/1.1 200"), 0);
+    }
+    EXPECT_EQ(answerToRequest(0).compare(0, 12, "HTTP/1.1 200"), 0);
+    EXPECT_EQ(server.requests(), requestsForARetry + 2);
+}
