Bound the memory of answers that their callers do not read

Not counted were the string in which the start of a streamed answer was collected, and the piece that libcurl keeps while paused. Change: while a bound of the budget is exceeded, a connection takes one piece of a streamed answer at a time, and the next one when its caller has taken all output. The collected start is freed, and the paused piece is counted.

--- a/src/proxy/callerlistener.cpp
+++ b/src/proxy/callerlistener.cpp
@@ -343,7 +343,7 @@
     PipelineLimits limits;
     limits.headBytes = m_settings.headerBytes;
     // The hooks find the connection by its socket: it owns the pipeline that owns them.
-    PipelineHooks hooks{m_hooks.onRequest, m_hooks.mayRunAhead, m_hooks.isStopping, m_hooks.onMalformed, {}, {}};
+    PipelineHooks hooks{m_hooks.onRequest, m_hooks.mayRunAhead, m_hooks.isStopping, m_hooks.onMalformed, {}, {}, {}};
     hooks.onChanged = [this, fd] {
         const auto found = m_connections.find(fd);
         if (found != m_connections.end() && !std::exchange(found->second->isChanged, true)) {
@@ -353,6 +353,9 @@
     hooks.socket = [fd] {
         return fd;
     };
+    hooks.isMemoryShort = [this, fd] {
+        return isMemoryShort(fd);
+    };
     auto connection = std::make_shared<Connection>(fd, limits, std::move(hooks), callerAddress, m_settings.budget);
     connection->activeAt = now;
     connection->servedAt = now;
@@ -431,6 +434,19 @@
     return first ? connections[*first] : nullptr;
 }
 
+/// Counts the connection first: one pass of the event loop can read many pieces for it before the next update().
+bool CallerListener::isMemoryShort(int fd)
+{
+    if (!m_settings.budget) {
+        return false;
+    }
+    const auto found = m_connections.find(fd);
+    if (found != m_connections.end()) {
+        found->second->share.set(found->second->pipeline.callerBytes());
+    }
+    return m_settings.budget->isExceeded();
+}
+
 void CallerListener::enforceBudget(Instant now)
 {
     const auto *budget = m_settings.budget.get();
--- a/src/proxy/callerlistener_p.h
+++ b/src/proxy/callerlistener_p.h
@@ -110,6 +110,8 @@
     /// Closes the connection that has been without a request for the longest time; false if there is none.
     bool closeIdlest(Instant now);
     std::size_t connectionLimit() const;
+    /// Whether a connection may take no more than one piece of an answer at a time.
+    bool isMemoryShort(int fd);
     Duration idleTimeout() const;
 
     const int m_epollFd;
--- a/src/proxy/callerpipeline.cpp
+++ b/src/proxy/callerpipeline.cpp
@@ -99,6 +99,9 @@
 
 void CallerPipeline::pump(Instant now)
 {
+    if (m_output.empty() && !m_entries.empty() && m_entries.front()->onResponseDrained) {
+        m_entries.front()->onResponseDrained(); // it may have waited for the output, see mayHold()
+    }
     do {
         while (!m_isClosing && answerFront()) {}
     } while (!m_isClosing && readRequests(now));
@@ -414,6 +417,9 @@
 bool CallerPipeline::mayHold(const Exchange &exchange, std::size_t n) const
 {
     const bool isFront = !m_entries.empty() && m_entries.front().get() == &exchange;
+    if (isMemoryShort()) {
+        return isFront && m_output.empty() && exchange.m_responseBody.isEmpty();
+    }
     return isFront || heldBytes() + n <= m_limits.heldBytes;
 }
 
--- a/src/proxy/callerpipeline_p.h
+++ b/src/proxy/callerpipeline_p.h
@@ -49,6 +49,8 @@
     std::function<void()> onChanged;
     /// The connection's socket, for Exchange::socket().
     std::function<int()> socket;
+    /// Whether callers hold too many bytes, see CallerBudget. May be null.
+    std::function<bool()> isMemoryShort;
 };
 
 /// Reads the requests of a connection, also before the earlier ones have been answered, and puts the responses in the
@@ -140,7 +142,12 @@
     bool closesConnection(const Exchange &front) const;
     void finishFront();
     std::size_t heldBytes() const;
-    /// Whether a streamed response may buffer `n` more bytes.
+    bool isMemoryShort() const
+    {
+        return m_hooks.isMemoryShort && m_hooks.isMemoryShort();
+    }
+    /// Whether a streamed response may buffer `n` more bytes. While memory is short, only the one at the front may, one
+    /// piece at a time whenever its caller has taken the one before.
     bool mayHold(const Exchange &exchange, std::size_t n) const;
 
     /// Ends the connection and all exchanges.
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -477,7 +477,9 @@
             continue;
         }
         it->sendingPaused = false;
-        it->receivingPaused = false;
+        if (std::exchange(it->receivingPaused, false)) {
+            it->exchange->setBufferedBytes(it->body.capacity());
+        }
         m_upstream.resume(it->attempt);
     }
     if (m_shared.dialect()) {
--- a/src/proxy/responses.cpp
+++ b/src/proxy/responses.cpp
@@ -139,6 +139,7 @@
         return DataResult::Taken;
     }
     request->receivingPaused = true;
+    request->exchange->setBufferedBytes(request->body.capacity() + n); // libcurl keeps the bytes
     return DataResult::Pause;
 }
 
--- a/src/proxy/routedrequests.cpp
+++ b/src/proxy/routedrequests.cpp
@@ -478,7 +478,7 @@
     request->streamsResponse = true;
     request->exchange->startResponse(request->responseStatus, request->responseHeaders, {});
     request->exchange->appendResponse(request->responseBody.data(), request->responseBody.size());
-    request->responseBody.clear();
+    clearBuffer(request->responseBody); // nothing counts it while the rest of the answer is streamed
     request->heldBody.set(0);
     return true;
 }
--- a/src/proxy/tests/callerbudgettest.cpp
+++ b/src/proxy/tests/callerbudgettest.cpp
@@ -125,6 +125,9 @@
         hooks.socket = [] {
             return -1;
         };
+        hooks.isMemoryShort = [this] {
+            return isMemoryShort;
+        };
         pipeline = std::make_unique<CallerPipeline>(PipelineLimits(), std::move(hooks), "127.0.0.1");
     }
     void receive(const std::string &bytes)
@@ -133,6 +136,7 @@
         pipeline->pump(Start);
     }
 
+    bool isMemoryShort = false;
     std::vector<std::shared_ptr<Exchange>> exchanges;
     std::unique_ptr<CallerPipeline> pipeline;
 };
@@ -193,6 +197,41 @@
     EXPECT_TRUE(pipeline->wantsInput());
 }
 
+// Guards against streamed answers that grow for callers that read nothing while memory is short, and against one that
+// never goes on although its caller has taken what there was.
+TEST_F(GivingWayTest, StreamedAnswersGoOnPieceByPieceWhileMemoryIsShort)
+{
+    const std::string piece(16'384, 'p');
+    receive("GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_EQ(exchanges.size(), 2U);
+    for (const auto &it : exchanges) {
+        it->startResponse(200, {}, 10 * piece.size());
+    }
+    int drained = 0;
+    exchanges[0]->onResponseDrained = [&] {
+        ++drained;
+    };
+    pipeline->output().clear();
+    isMemoryShort = true;
+    EXPECT_FALSE(exchanges[1]->hasRoom(piece.size()));
+    EXPECT_TRUE(exchanges[0]->appendResponse(piece.data(), piece.size()));
+    EXPECT_FALSE(exchanges[0]->hasRoom(piece.size()));
+    pipeline->pump(Start);
+    EXPECT_GE(pipeline->output().size(), piece.size());
+    EXPECT_FALSE(exchanges[0]->hasRoom(piece.size()));
+    pipeline->output().erase(0, piece.size() / 2);
+    pipeline->pump(Start);
+    EXPECT_FALSE(exchanges[0]->hasRoom(piece.size()));
+    drained = 0;
+    pipeline->output().clear();
+    pipeline->pump(Start);
+    EXPECT_EQ(drained, 1);
+    EXPECT_TRUE(exchanges[0]->hasRoom(piece.size()));
+    EXPECT_FALSE(exchanges[1]->hasRoom(piece.size()));
+    isMemoryShort = false;
+    EXPECT_TRUE(exchanges[1]->hasRoom(piece.size()));
+}
+
 // Guards against a head without an end that nothing can end.
 TEST_F(GivingWayTest, UnfinishedHeadEndsTheConnection)
 {
