--- a/include/galenarock/proxy.h
+++ b/include/galenarock/proxy.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include <galenarock/answerpace.h>
 #include <galenarock/error.h>
 #include <galenarock/keyloads.h>
 #include <galenarock/leavingservers.h>
@@ -120,6 +121,15 @@
     {
         return m_retryLimits;
     }
+    /// Call before the workers start.
+    void setSlowStart(SlowStart slowStart)
+    {
+        m_slowStart = slowStart;
+    }
+    SlowStart slowStart() const
+    {
+        return m_slowStart;
+    }
     /// Failure domain whose servers are preferred; empty for no preference. Call before the workers start.
     void setLocalDomain(std::string domain)
     {
@@ -222,6 +232,7 @@
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::shared_ptr<const RequestDialect> m_dialect;
     RetryLimits m_retryLimits;
+    SlowStart m_slowStart = SlowStart::Linear;
     std::string m_localDomain;
     KeyLoadCollector m_keyLoads;
     std::atomic<bool> m_draining{false};
--- a/include/galenarock/settings.h
+++ b/include/galenarock/settings.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include <galenarock/answerpace.h>
 #include <galenarock/error.h>
 #include <galenarock/eventlog.h>
 
@@ -91,6 +92,8 @@
     /// service's ServiceRule::warmupPerSecond, and this many more. A multiple of 0 sets no bound.
     double warmupOvershoot = 0;
     double warmupSlack = 0;
+    /// Gateway: how the share of a server that has started or recovered rises.
+    SlowStart slowStart = SlowStart::Linear;
     /// Gateway: time within which no request is sent any more to a failure domain whose evacuation the store has
     /// accepted; 0 for a platform without evacuations.
     std::int64_t evacuationMs = 0;
@@ -109,8 +112,8 @@
             && a.stopDeadlineMs == b.stopDeadlineMs && a.readiness == b.readiness && a.retryPercent == b.retryPercent
             && a.retryAllowance == b.retryAllowance && a.maxGrantDurationMs == b.maxGrantDurationMs
             && a.cpuShare == b.cpuShare && a.warmupOvershoot == b.warmupOvershoot && a.warmupSlack == b.warmupSlack
-            && a.evacuationMs == b.evacuationMs && a.memoryMb == b.memoryMb && a.maxDescriptors == b.maxDescriptors
-            && a.trace == b.trace;
+            && a.slowStart == b.slowStart && a.evacuationMs == b.evacuationMs && a.memoryMb == b.memoryMb
+            && a.maxDescriptors == b.maxDescriptors && a.trace == b.trace;
     }
 };
 
--- a/include/galenarock/sharedserverlimits.h
+++ b/include/galenarock/sharedserverlimits.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <galenarock/metrics.h>
 #include <galenarock/serverlimits.h>
@@ -58,6 +59,12 @@
     {
         return m_coldServers.load(std::memory_order_relaxed);
     }
+    /// Number of the list of cold servers: changes with each setColdServers(); takes no lock.
+    std::uint64_t coldRevision() const
+    {
+        return m_coldRevision.load(std::memory_order_acquire);
+    }
+    std::vector<ColdServer> coldList();
     bool isLimited(const Identity &server);
     Instant refusedUntil(const Identity &server, std::uint32_t priority);
     std::map<Identity, double> rates();
@@ -79,8 +86,10 @@
     };
     std::atomic<std::size_t> m_limitedServers{0};
     std::atomic<std::size_t> m_coldServers{0};
+    std::atomic<std::uint64_t> m_coldRevision{0};
     std::mutex m_mutex; ///< Guards all members below.
     ServerLimits m_limits;
+    std::vector<ColdServer> m_coldList;
     std::map<std::uint64_t, Permit> m_outcomes;
     std::map<Identity, SentCount> m_sent;
     Instant m_nextSummaryAt{};
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -107,6 +107,15 @@
     return {};
 }
 
+std::string applySlowStart(Settings &settings, const std::string &text)
+{
+    if (text != "linear" && text != "answers") {
+        return fmt::format("\"{}\" is neither linear nor answers", text);
+    }
+    settings.slowStart = text == "answers" ? SlowStart::Answers : SlowStart::Linear;
+    return {};
+}
+
 /// The message never shows the key, because it is printed to the log.
 std::string applyPeerKey(Settings &settings, const std::string &text)
 {
@@ -174,6 +183,8 @@
      applyAmount<&Settings::warmupOvershoot>},
     {{"warmup-slack", "N", "0", false, "gateway: requests within a second beyond that bound"},
      applyAmount<&Settings::warmupSlack>},
+    {{"slow-start", "WAY", "linear", false, "gateway: share of a server that has started: linear or answers"},
+     applySlowStart},
     {{"evacuation-ms", "MS", "0", false, "gateway: bound for the evacuation of a failure domain; 0 or empty is off"},
      applyNumber<&Settings::evacuationMs, 0, dayMs>},
     {{"memory-mb", "MB", "16384", false, "gateway: memory of this VM; bounds the bytes of callers that are held"},
@@ -188,8 +199,8 @@
 
 /// Settings whose value may be empty, which leaves the default: the platform fills in bounds that not every deployment
 /// has.
-constexpr std::string_view MayBeEmpty[] = {"evacuation-ms", "warmup-overshoot", "warmup-slack", "memory-mb",
-                                           "max-descriptors"};
+constexpr std::string_view MayBeEmpty[] = {"evacuation-ms", "warmup-overshoot", "warmup-slack",
+                                           "slow-start",    "memory-mb",        "max-descriptors"};
 
 bool mayBeEmpty(std::string_view name)
 {
--- a/src/base/tests/settingstest.cpp
+++ b/src/base/tests/settingstest.cpp
@@ -155,6 +155,23 @@
     EXPECT_TRUE(hasFinding(parseSettings(given, {}).findings, ErrorCode::OutOfRange, "--warmup-slack"));
 }
 
+// Guards against a gateway that does not start where the platform leaves the flag empty, and against a way that is
+// misspelt and silently taken for the default.
+TEST(Settings, slowStartIsLinearUnlessAnswersAreGiven)
+{
+    EXPECT_EQ(parseSettings(goodFlags(), {}).settings.slowStart, SlowStart::Linear);
+    auto flags = goodFlags();
+    flags.emplace_back();
+    for (const char *it : {"--slow-start=", "--slow-start=linear", "--slow-start=answers"}) {
+        flags.back() = it;
+        const auto parsed = parseSettings(flags, {});
+        EXPECT_EQ(toString(parsed.findings), "");
+        EXPECT_EQ(parsed.settings.slowStart == SlowStart::Answers, flags.back() == "--slow-start=answers");
+    }
+    flags.back() = "--slow-start=answer";
+    EXPECT_TRUE(hasFinding(parseSettings(flags, {}).findings, ErrorCode::OutOfRange, "--slow-start"));
+}
+
 // The platform fills in the bound, which not every deployment has. Guards against a gateway that does not start without
 // it, and against an empty value that passes for another setting.
 TEST(Settings, emptyEvacuationBoundIsOff)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,6 +119,7 @@
 {
     shared.setDialect(std::make_shared<const RequestDialect>(dialect.requests));
     shared.setLocalDomain(settings.failureDomain);
+    shared.setSlowStart(settings.slowStart);
     shared.setRetryLimits({settings.retryPercent, settings.retryAllowance});
 }
 
--- a/src/proxy/classify.cpp
+++ b/src/proxy/classify.cpp
@@ -44,6 +44,7 @@
     if (!slot) {
         slot = std::make_unique<ServiceTraffic>(m_shared.metrics(), route->document());
         slot->route = route;
+        slot->setSlowStart(m_shared.slowStart());
         if (m_shared.dialect()) {
             const auto &limits = m_shared.retryLimits();
             slot->useExpectedDelay(m_shared.localDomain(), limits.percent, limits.allowance);
--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -26,6 +26,7 @@
 inline constexpr EventType ServerPaused{222, Severity::Info, "server-paused"};
 inline constexpr EventType PauseMalformed{223, Severity::Warning, "server-pause-malformed"};
 inline constexpr EventType CallerGaveWay{230, Severity::Info, "caller-gave-way"};
+inline constexpr EventType ServerPace{360, Severity::Info, "server-pace"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
--- a/src/proxy/servicetraffic.cpp
+++ b/src/proxy/servicetraffic.cpp
@@ -1,3 +1,4 @@
+#include "events_p.h"
 #include "servicetraffic_p.h"
 
 #include <algorithm>
@@ -24,6 +25,16 @@
     return request.rule ? TargetDelayShare * static_cast<double>(request.rule->latencyTargetMs) / 1000 : 0;
 }
 
+constexpr Duration PaceInterval = seconds(2);
+/// Servers that one line names, those with the lowest share first.
+constexpr std::size_t MaxPaceServers = 6;
+
+using PaceMember = std::uint64_t PaceCounts::*;
+constexpr std::pair<PaceMember, const char *> PaceMembers[] = {
+    {&PaceCounts::started, "started"}, {&PaceCounts::ended, "ended"},     {&PaceCounts::good, "good"},
+    {&PaceCounts::slow, "slow"},       {&PaceCounts::refused, "refused"}, {&PaceCounts::failed, "failed"},
+};
+
 std::string serviceLabel(const ServiceDocument &document)
 {
     return fmt::format("service=\"{}\"", document.service);
@@ -46,6 +57,10 @@
         m_refusals.push_back(&metrics.counter("galenarock_refusals_total", labels));
         m_retries.push_back(&metrics.counter("galenarock_retries_total", labels));
     }
+    for (const auto &it : PaceMembers) {
+        const auto labels = fmt::format("{},change=\"{}\"", serviceLabel(document), it.second);
+        m_paceCounters.push_back(&metrics.counter("galenarock_server_pace_total", labels));
+    }
 }
 
 void ServiceTraffic::useExpectedDelay(const std::string &localDomain, double retryPercent, double retryAllowance)
@@ -89,6 +104,63 @@
     observations.setServers(now, route->servers(), share);
 }
 
+void ServiceTraffic::setSlowStart(SlowStart slowStart)
+{
+    m_slowStart = slowStart;
+    observations.setSlowStart(slowStart, m_random());
+}
+
+void ServiceTraffic::noteColdServers(Instant now, SharedServerLimits &limits)
+{
+    const auto revision = limits.coldRevision();
+    if (std::exchange(m_coldRevision, revision) == revision) {
+        return;
+    }
+    std::map<Identity, Instant> coldUntil;
+    for (const auto &it : limits.coldList()) {
+        coldUntil.emplace(it.server, it.until);
+    }
+    for (std::size_t n = 0; n < route->servers().size(); ++n) {
+        const auto &identity = route->servers()[n].identity;
+        const auto known = m_coldUntil.find(identity);
+        const bool wasCold = known != m_coldUntil.end() && known->second > now;
+        if (coldUntil.count(identity) > 0 && !wasCold) {
+            observations.becameCold(now, static_cast<ServerIndex>(n));
+        }
+    }
+    m_coldUntil = std::move(coldUntil);
+}
+
+void ServiceTraffic::reportPaces(Instant now)
+{
+    if (now < m_nextPaceReportAt) {
+        return;
+    }
+    m_nextPaceReportAt = now + PaceInterval;
+    const auto counts = observations.paceCounts();
+    bool isChanged = false;
+    for (std::size_t n = 0; n < m_paceCounters.size(); ++n) {
+        const auto member = PaceMembers[n].first;
+        const auto added = counts.*member - m_reportedPaces.*member;
+        m_paceCounters[n]->add(added);
+        isChanged = isChanged || added > 0;
+    }
+    const auto before = std::exchange(m_reportedPaces, counts);
+    const auto paces = observations.paces(now);
+    if (paces.empty() && !isChanged) {
+        return;
+    }
+    std::string text;
+    for (std::size_t n = 0; n < std::min(paces.size(), MaxPaceServers); ++n) {
+        text += fmt::format("{} {} at {:.2f} after {} ms", n == 0 ? ":" : ",", toString(paces[n].server),
+                            paces[n].share, duration_cast<milliseconds>(paces[n].age).count());
+    }
+    logEvent(Events::ServerPace,
+             "{}: {} below their full share, {} have reached it, {} good, {} slow, {} refused, {} failed{}",
+             route->document().service, paces.size(), counts.ended - before.ended, counts.good - before.good,
+             counts.slow - before.slow, counts.refused - before.refused, counts.failed - before.failed, text);
+}
+
 Owner ServiceTraffic::choose(Instant now, const PendingRequest &request, const ServerConditions &conditions)
 {
     if (route->document().distribution == Distribution::Keyed) {
@@ -97,6 +169,12 @@
     if (route->isEvacuated()) {
         return {noServer, Token{}, Reason::Evacuated};
     }
+    if (m_slowStart == SlowStart::Answers) {
+        if (conditions.limits) {
+            noteColdServers(now, *conditions.limits);
+        }
+        reportPaces(now);
+    }
     const auto &tried = request.plan->triedServers();
     const auto chooseFrom = [&](const std::vector<ServerView> &views) {
         return chooseServer(m_policy, views, tried, m_random(), targetDelaySeconds(request));
--- a/src/proxy/servicetraffic_p.h
+++ b/src/proxy/servicetraffic_p.h
@@ -38,6 +38,8 @@
     /// table.
     void useExpectedDelay(const std::string &localDomain, double retryPercent, double retryAllowance);
 
+    /// Call before the first refresh().
+    void setSlowStart(SlowStart slowStart);
     /// Updates the state to a new snapshot or number of live workers; cheap when neither has changed.
     void refresh(Instant now, const std::shared_ptr<const RoutingSnapshot> &snapshot, std::uint32_t liveWorkers);
 
@@ -91,6 +93,19 @@
     /// recovered a request would ask one after the other for a permit.
     void leaveOutLimited(SharedServerLimits &limits, std::vector<ServerView> &views) const;
 
+    /// Starts the pace of servers anew that have become cold.
+    void noteColdServers(Instant now, SharedServerLimits &limits);
+    /// Counts and logs the paces, at most once in PaceInterval.
+    void reportPaces(Instant now);
+
+    SlowStart m_slowStart = SlowStart::Linear;
+    std::uint64_t m_coldRevision = 0;
+    /// When the cold servers that were last listed will be warm.
+    std::map<Identity, Instant> m_coldUntil;
+    Instant m_nextPaceReportAt{};
+    PaceCounts m_reportedPaces;
+    /// Indexed as the numbers of PaceCounts.
+    std::vector<Counter *> m_paceCounters;
     std::uint32_t m_liveWorkers = 0;
     /// The observations have a list of servers.
     bool m_hasServers = false;
--- a/src/proxy/sharedserverlimits.cpp
+++ b/src/proxy/sharedserverlimits.cpp
@@ -83,8 +83,16 @@
 {
     locked([&](ServerLimits &it, LimitActions &) {
         it.setColdServers(servers);
+        m_coldList = servers;
         return 0;
     });
+    m_coldRevision.fetch_add(1, std::memory_order_release);
+}
+
+std::vector<ColdServer> SharedServerLimits::coldList()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_coldList;
 }
 
 void SharedServerLimits::observeAnswer(Instant now, const Identity &server, const PaceSigns &signs)
