--- a/src/proxy/events_p.h
+++ b/src/proxy/events_p.h
@@ -28,6 +28,7 @@
 inline constexpr EventType SilenceShown{350, Severity::Warning, "servers-go-silent"};
 inline constexpr EventType AttemptSilent{351, Severity::Info, "attempt-silent"};
 inline constexpr EventType CallerGaveWay{230, Severity::Info, "caller-gave-way"};
+inline constexpr EventType ServerPace{360, Severity::Info, "server-pace"};
 inline constexpr EventType ListenerQuiesced{205, Severity::Info, "listener-quiesced"};
 
 }
