--- a/src/proxy/tests/workertest.cpp
+++ b/src/proxy/tests/workertest.cpp
@@ -524,13 +524,14 @@
 {
     constexpr int requestsForARetry = 12; // of which the retry budget gets a tenth each
     constexpr auto fullFor = milliseconds(150);
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest: r-1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
     Instant fullUntil{};
     RawServer server(
         [&](int number, const std::string &) {
             if (number == requestsForARetry + 1) {
                 fullUntil = MonotonicClock::now() + fullFor;
             }
-            return std::string(MonotonicClock::now() < fullUntil ? "" : SmallAnswer);
+            return MonotonicClock::now() < fullUntil ? "" : answer;
         },
         RawServer::AfterAnswer::Close);
     maxAttempts = 2;
