--- a/review/standin-2/slowreader.cpp
+++ b/review/standin-2/slowreader.cpp
@@ -1,4 +1,4 @@
-/// A planned stop while requesters read their downloads slowly (case 8). Usage: slowreader RECORD DIRECTORY
+/// A planned stop while requesters read their downloads slowly (case 9). Usage: slowreader RECORD DIRECTORY
 #include <cstdio>
 #include <string>
 #include <thread>
--- a/review/standin-2/slowserver.cpp
+++ b/review/standin-2/slowserver.cpp
@@ -1,4 +1,4 @@
-/// A planned stop while a server reads uploads slowly (case 9). Usage: slowserver RECORD DIRECTORY
+/// A planned stop while a server reads uploads slowly (case 10). Usage: slowserver RECORD DIRECTORY
 #include <cstdio>
 #include <string>
 #include <thread>
