Show the silent store of case 8 with real processes too

Tried: three gateways, the project's stand-in of the store that answers nothing for 0.2 s between two of twelve changes, then a route moved 3.5 s after the last one. Order of events: each gateway sends its watch into the silence; no heartbeat falls into it; the move is adopted 15.7 to 15.9 s late.

--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -24,7 +24,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-nlohmann::json configurationOf(const RouteOptions &route)
+nlohmann::json clusterOf(const std::string &service, bool isSharded)
+{
+    nlohmann::json cluster{{"name", service}, {"healthPath", "/health"}, {"maxConnections", 410}, {"protocol", "h1"},
+                           {"tls", false},    {"warmupS", 3.0},          {"warmupPerS", 0.0}};
+    if (isSharded) {
+        cluster.update({{"sharded", true}, {"warmS", 3.0}, {"grants", "request"}});
+    }
+    return cluster;
+}
+
+nlohmann::json configurationOf(const RouteOptions &route, int version)
 {
     const nlohmann::json rule{
         {"name", "r-1"},
@@ -33,20 +43,18 @@
         {"priority", 1},
         {"match", {{"pathPrefix", route.prefix}}},
         {"action", {{"service", route.service}, {"timeoutMs", route.timeoutMs}, {"maxAttempts", route.maxAttempts}}}};
-    nlohmann::json cluster{
-        {"name", route.service}, {"healthPath", "/health"}, {"maxConnections", 410}, {"protocol", "h1"},
-        {"tls", false},          {"warmupS", 3.0},          {"warmupPerS", 0.0}};
-    if (route.isSharded) {
-        cluster.update({{"sharded", true}, {"warmS", 3.0}, {"grants", "request"}});
+    auto clusters = nlohmann::json::array({clusterOf(route.service, route.isSharded)});
+    if (!route.otherService.empty()) {
+        clusters.push_back(clusterOf(route.otherService, false));
     }
     const nlohmann::json limits{{"maxHeaderBytes", 16'384},
                                 {"maxBodyBytes", 67'108'864},
                                 {"headerTimeoutMs", 3'000},
                                 {"idleTimeoutMs", 15'000}};
-    return {{"version", 7},
+    return {{"version", version},
             {"limits", limits},
             {"listeners", {{{"host", route.host}, {"rules", {rule}}}}},
-            {"clusters", {cluster}}};
+            {"clusters", clusters}};
 }
 }
 
@@ -136,9 +144,12 @@
     , m_serve(serve)
     , m_store("127.0.0.9")
 {
-    m_store.put("config", "main", configurationOf(options.route));
+    configure(options.route, 7);
     for (std::size_t n = 0; n < options.servers; ++n) {
         addServer("i-server" + std::to_string(n + 1), n);
+        if (!options.route.otherService.empty()) {
+            addServer("i-other" + std::to_string(n + 1), n, options.route.otherService);
+        }
     }
     m_beats = std::thread([this] { beat(); });
     for (std::size_t n = 0; n < 3; ++n) {
@@ -150,11 +161,11 @@
     }
 }
 
-Server &Deployment::addServer(const std::string &id, std::size_t zone)
+Server &Deployment::addServer(const std::string &id, std::size_t zone, const std::string &service)
 {
     const std::lock_guard lock(m_mutex);
-    m_servers.push_back(std::make_unique<Server>("127.0.0.10", id, m_options.route.service, Zones[zone % 3],
-                                                 m_options.serverPacing, m_record, m_serve));
+    m_servers.push_back(std::make_unique<Server>("127.0.0.10", id, service, Zones[zone % 3], m_options.serverPacing,
+                                                 m_record, m_serve));
     m_servers.back()->beat(m_store);
     m_record.line("server " + id + " starts");
     return *m_servers.back();
@@ -215,6 +226,22 @@
     return false;
 }
 
+void Deployment::configure(const RouteOptions &route, int version)
+{
+    m_store.put("config", "main", configurationOf(route, version));
+    m_record.line("version " + std::to_string(version) + ", route to " + route.service + " with a time of "
+                  + std::to_string(route.timeoutMs) + " ms, is written and acked by the store");
+}
+
+void Deployment::silenceStore(std::int64_t ms)
+{
+    m_record.line("the store falls silent");
+    m_store.setSilent(true);
+    sleepMs(ms);
+    m_store.setSilent(false);
+    m_record.line("the store answers again; calls that it left unanswered: " + std::to_string(m_store.unanswered()));
+}
+
 void Deployment::stopAsPlanned(Gateway &gateway, int graceS)
 {
     m_record.line("SIGTERM to " + gateway.name());
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -47,6 +47,10 @@
     {
         return m_id;
     }
+    const std::string &service() const
+    {
+        return m_service;
+    }
     /// Writes the entry that the server writes at each heartbeat.
     void beat(Store &store);
     /// The next heartbeats say that the server leaves.
@@ -97,6 +101,8 @@
     int targetLatencyMs = 1'000;
     /// The service is divided by key.
     bool isSharded = false;
+    /// A second service with as many servers, to which no route goes; empty for none.
+    std::string otherService = {};
 };
 
 struct DeploymentOptions
@@ -128,19 +134,27 @@
         return m_gateways.size();
     }
     /// Starts a further server in the failure domain with this number.
-    Server &addServer(const std::string &id, std::size_t zone);
+    Server &addServer(const std::string &id, std::size_t zone)
+    {
+        return addServer(id, zone, m_options.route.service);
+    }
     /// The server leaves the store and ends.
     void removeServer(const std::string &id);
     /// The server reports that it leaves, and serves on.
     void drain(const std::string &id);
     /// Whether any server has begun to work on the request.
     bool hasBegun(const std::string &request) const;
+    /// The operator writes a configuration with this route. Returns once the store has accepted it.
+    void configure(const RouteOptions &route, int version);
+    /// The store stops answering for some time; returns at the end of it.
+    void silenceStore(std::int64_t ms);
     /// SIGTERM, and SIGKILL after the time that the settings give; returns once the process has ended.
     void stopAsPlanned(Gateway &gateway, int graceS);
     /// Ends all machines and this process; connections of the stand-ins may still be open.
     [[noreturn]] void end(ExitStatus status);
 
 private:
+    Server &addServer(const std::string &id, std::size_t zone, const std::string &service);
     void beat();
 
     const DeploymentOptions m_options;
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -57,7 +57,14 @@
         if (reader.readBody(head, body, nowMs() + IdleMs) != ReadResult::Done) {
             return;
         }
-        const auto result = answer(head.word(0), head.word(1), body);
+        const bool isTaken = !m_isSilent;
+        const auto result = isTaken ? answer(head.word(0), head.word(1), body) : Answer();
+        if (!isTaken || m_isSilent) {
+            ++m_unanswered;
+            // The peer closes when its own time is over.
+            reader.readHead(head, nowMs() + IdleMs);
+            return;
+        }
         const auto text = result.body.dump();
         const auto message = "HTTP/1.1 " + std::to_string(result.status) + " " + reasonPhrase(result.status)
             + "\r\nStore-Era: 1\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size())
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -16,7 +18,7 @@
 {
 
 /// The platform's metadata store (PROTOCOL.md): objects by kind and name, lists, watches and conditional writes.
-/// Nothing in it fails.
+/// Nothing in it fails, but that it can fall silent.
 class Store
 {
 public:
@@ -29,6 +31,15 @@
     /// What the operator or a server writes.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
+    /// While it is silent, calls that come or are due get no answer, and none later. Their connections live on.
+    void setSilent(bool isSilent)
+    {
+        m_isSilent = isSilent;
+    }
+    std::size_t unanswered() const
+    {
+        return m_unanswered;
+    }
 
 private:
     struct Event
@@ -56,6 +67,8 @@
 
     Socket m_listener;
     Endpoint m_address;
+    std::atomic<bool> m_isSilent{false};
+    std::atomic<std::size_t> m_unanswered{0};
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::uint64_t m_revision = 1;
