--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -102,11 +103,13 @@
 
 int freePort(const std::string &ip)
 {
+    static std::set<std::pair<std::string, int>> given;
     for (int n = 0; n < 50; ++n) {
         const auto [socket, port] = listenOn(ip);
         const Socket datagram(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
         auto address = socketAddress(ip, port);
-        if (socket.isOpen() && bind(datagram.fd(), reinterpret_cast<sockaddr *>(&address), sizeof address) == 0) {
+        if (socket.isOpen() && bind(datagram.fd(), reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
+            && given.emplace(ip, port).second) {
             return port;
         }
     }
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -66,7 +66,7 @@
 
 /// Listens on a free port of the address.
 std::pair<Socket, int> listenOn(const std::string &ip, const LinkOptions &options = {});
-/// A port of the address that is free for TCP and UDP now.
+/// A port of the address that is free for TCP and UDP now; never the same one twice. For one thread.
 int freePort(const std::string &ip);
 Socket connectTo(const Endpoint &peer, const LinkOptions &options = {});
 /// Writes all bytes. False if the peer has closed, or has taken nothing by the deadline.
