Find watches that a store lost in a silence of any length

Cause: a call that waits for news was believed for as long as it may wait (20 s, then 1 s) unless another call of the same daemon failed. The heartbeat, each 500 ms, is the only such call at rest. After each change of a storm all daemons send their watches anew within 150 ms, so a silence between two heartbeats takes the watches of all and shows nowhere. A heartbeat right after the watch would not see a watch that was taken before the silence and whose answer fell into it. So no other call can prove that a watch is alive; only a bounded wait can.

Change: two daemons, the verifiers, wait 1.5 s at most and count a watch as lost 0.5 s later. Each 200 ms they state the revision of each kind's last change (WatchVerification, message 66). The others keep waits of 20 s while they hear a statement not older than 600 ms, and send a watch again that is 150 ms behind it (WatchTimer). Who hears no verifier, or is one, waits 1.5 s, so the bound holds for each daemon alone. During an outage that heartbeats see nothing changes. A page of a list that the store has lost is asked for again after 1 s, not 2 s. Lost watches are logged (610) and counted. In large fleets a verifier's empty answers must not make those behind who had no change: the feed states the last change, and what is passed on begins where the last one ended.

--- a/include/galenarock/control.h
+++ b/include/galenarock/control.h
@@ -49,6 +49,8 @@
 {
     std::string kind;
     std::uint64_t revision = 0;
+    /// Revision of the kind's last change, as far as the client knows. Not part of recorded traces.
+    std::uint64_t lastChange = 0;
 };
 
 struct WriteResultEvent
--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -140,7 +140,21 @@
     }
 };
 
-/// What other daemons pass on of the store's changes (galenarock/watchfeed.h).
+/// What verifiers state of a watched kind (galenarock/watchverification.h).
+struct VerifiedKind
+{
+    /// Until then a verifier vouches for `lastChange`. Zero when none is heard.
+    Instant until{};
+    /// Revision of the kind's last change, as far as this daemon or a verifier knows.
+    std::uint64_t lastChange = 0;
+
+    friend bool operator==(const VerifiedKind &a, const VerifiedKind &b)
+    {
+        return a.until == b.until && a.lastChange == b.lastChange;
+    }
+};
+
+/// What other daemons say of the store's changes (galenarock/watchfeed.h, galenarock/watchverification.h).
 struct WatchFeedView
 {
     /// This daemon passes changes on.
@@ -151,14 +165,29 @@
     std::map<std::string, std::uint64_t> newest;
     /// Kinds of this daemon that those who feed it do not watch: it makes its own watch calls for them.
     std::set<std::string> unfedKinds = {};
+    std::map<std::string, VerifiedKind> verified = {};
 
     friend bool operator==(const WatchFeedView &a, const WatchFeedView &b)
     {
         return a.isWatcher == b.isWatcher && a.fedUntil == b.fedUntil && a.newest == b.newest
-            && a.unfedKinds == b.unfedKinds;
+            && a.unfedKinds == b.unfedKinds && a.verified == b.verified;
     }
 };
 
+/// How long the calls of a watch wait, and when one counts as lost.
+struct WatchTimerSettings
+{
+    /// Longest time that the store holds a watch open for a daemon that hears no verifier.
+    Duration unverifiedWait = seconds(20);
+    /// From the end of the wait to the answer; after it the call is sent again.
+    Duration answerTime = milliseconds(500);
+    /// A daemon that is behind a verifier waits this long for the answer of its own call.
+    Duration grace = milliseconds(150);
+    /// A call that is not older is not taken for one that reports nothing. Doubles with each call that was lost since
+    /// the last answer, so that a slow store can still answer.
+    Duration shortestAge = milliseconds(500);
+};
+
 struct StoreClientSettings
 {
     /// `http://ip:port`
@@ -167,6 +196,10 @@
     std::string team = "galenarock";
     Duration connectTimeout = seconds(1);
     Duration callTimeout = seconds(3);
+    /// A first call that lists a watched kind; after one without an answer `callTimeout` holds.
+    Duration listTimeout = seconds(1);
+    /// The timer finds lost watches only where the dialect has heartbeats, which tell them from an outage.
+    WatchTimerSettings watchTimer;
     /// Longest time that the platform holds a watch open.
     Duration watchTimeout = seconds(20);
     /// The same for the first call of a watch after trouble with the store. A call that a silent store has taken is
--- a/include/galenarock/watchfeed.h
+++ b/include/galenarock/watchfeed.h
@@ -96,6 +96,11 @@
     {
         return m_isWatcher;
     }
+    /// Daemons that keep watches of their own: in a small fleet all, those first that would be chosen in a larger one.
+    const std::vector<std::string> &watchers() const
+    {
+        return m_watchers;
+    }
     /// Daemons to which this watcher passes changes on.
     const std::vector<std::string> &receivers() const
     {
@@ -104,6 +109,8 @@
 
     /// This daemon's own view of the store.
     void setEra(std::uint64_t era);
+    /// `revision` is that of the kind's last change. A later one, up to which nothing changed, would make daemons that
+    /// were not told of it read the store.
     void synced(const std::string &kind, std::uint64_t revision);
     /// Statuses that are due; none unless this daemon is a watcher.
     ControlActions tick(Instant now, bool isStoreReachable);
@@ -117,6 +124,7 @@
 private:
     std::vector<const Member *> chooseWatchers(const std::vector<Member> &members) const;
     std::vector<std::string> sourcesOf(const Member &daemon, const std::vector<const Member *> &watchers) const;
+    void addOtherWatchers(const std::vector<Member> &members, const std::set<std::string> &chosen);
     void raise(const std::string &kind, std::uint64_t revision);
     bool isSettled(Instant now) const
     {
@@ -127,6 +135,7 @@
     const WatchFeedSettings m_settings;
     bool m_isWatcher = false;
     Instant m_watcherSince{};
+    std::vector<std::string> m_watchers;
     std::vector<std::string> m_receivers;
     /// Other watchers, which exchange statuses: one that is cut from the store learns that it is behind.
     std::vector<std::string> m_otherWatchers;
--- a/src/gateway/events_p.h
+++ b/src/gateway/events_p.h
@@ -2,7 +2,7 @@
 
 #include <galenarock/eventlog.h>
 
-/// Log events of the gateway, numbers 120 to 138. Documented in docs/events.md.
+/// Log events of the gateway, numbers 120 to 139. Documented in docs/events.md.
 namespace Galenarock::Events
 {
 
@@ -17,6 +17,7 @@
 inline constexpr EventType FeatureUseChanged{130, Severity::Info, "feature-use-changed"};
 inline constexpr EventType PeerKeyReplaced{129, Severity::Warning, "peer-key-replaced"};
 inline constexpr EventType WatcherChanged{131, Severity::Info, "watcher-changed"};
+inline constexpr EventType VerifierChanged{139, Severity::Info, "verifier-changed"};
 inline constexpr EventType WatchFeedMalformed{132, Severity::Warning, "watch-feed-malformed"};
 inline constexpr EventType ServerLeaving{133, Severity::Info, "server-leaving"};
 inline constexpr EventType PeerKeyChanged{134, Severity::Warning, "peer-key-changed"};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// Collects the changes of servers that start or leave shortly after each other, so that each daemon makes one call to
 /// the store for them.
 constexpr Duration WatchPause = milliseconds(150);
+/// Without a verifier. A lost watch is found half a second after its wait, and the changes since then have to be in
+/// force 3 s after the store was silent.
+constexpr Duration UnverifiedWatchWait = milliseconds(1'500);
 constexpr std::size_t CallerHeaderBytes = 40'960;
 constexpr unsigned ServerIdleSeconds = 4;
 
@@ -288,6 +291,7 @@
     client.dialect = dialect.store;
     client.vmListInterval = Duration::zero();
     client.watchPause = WatchPause;
+    client.watchTimer.unverifiedWait = UnverifiedWatchWait;
     client.connectTimeout = StoreConnectTimeout;
     client.callTimeout = StoreCallTimeout;
     client.budget.longestBackOff = StoreMaxBackOff;
--- a/src/gateway/plane.cpp
+++ b/src/gateway/plane.cpp
@@ -23,6 +23,7 @@
     , m_membership(membershipSettings(m_settings, {}))
     , m_features(m_settings.self, ownBuild())
     , m_feed(m_settings.self, WatchFeedSettings())
+    , m_verification(m_settings.self, WatchVerificationSettings())
     , m_coldServers(m_settings.warmupBound)
     , m_evacuations(m_dialect.evacuationKind.empty() ? Duration::zero() : m_settings.evacuationBound)
     , m_serviceRoutes(m_settings.retryPercent)
@@ -88,7 +89,9 @@
     joinFleet(now);
     checkPeerKey(now);
     carryOut(m_features.tick(now));
-    carryOut(m_feed.tick(now, m_hooks.isStoreReachable()));
+    const bool isStoreReachable = m_hooks.isStoreReachable();
+    carryOut(m_feed.tick(now, isStoreReachable));
+    carryOut(m_verification.tick(now, isStoreReachable));
     const bool reachesServers = m_hooks.reachesServers();
     for (auto &[service, controller] : m_leases) {
         controller.setReachesServers(reachesServers);
@@ -102,6 +105,7 @@
     const bool isRestored = m_storeEra != 0;
     m_storeEra = era;
     m_feed.setEra(era);
+    m_verification.setEra(era);
     for (auto &[service, controller] : m_leases) {
         carryOut(controller.step(now, StoreEraEvent{era}));
     }
--- a/src/gateway/plane_p.h
+++ b/src/gateway/plane_p.h
@@ -12,6 +12,7 @@
 #include <galenarock/routing.h>
 #include <galenarock/serverlimits.h>
 #include <galenarock/watchfeed.h>
+#include <galenarock/watchverification.h>
 
 #include "coldserverlist_p.h"
 #include "daemon/decisionlog_p.h"
@@ -183,6 +184,7 @@
     PeerFeatures m_features;
     bool m_areRelaysFleetWide = false;
     WatchFeed m_feed;
+    WatchVerification m_verification;
     WatchFeedView m_feedView;
     VmList m_daemons;
     ServerDirectory m_servers;
--- a/src/gateway/planeobjects.cpp
+++ b/src/gateway/planeobjects.cpp
@@ -39,7 +39,8 @@
 
 void GatewayControlPlane::onSynced(Instant now, const KindSyncedEvent &event)
 {
-    m_feed.synced(event.kind, event.revision);
+    m_feed.synced(event.kind, event.lastChange);
+    m_verification.changed(event.kind, event.lastChange);
     if (event.kind == m_dialect.serverKind && !m_areServersKnown) {
         m_areServersKnown = true;
         m_servers.setListed(now);
--- a/src/gateway/planepeers.cpp
+++ b/src/gateway/planepeers.cpp
@@ -33,7 +33,9 @@
         m_areFeaturesOutdated = true;
         return true;
     }
-    if (event.type == WatchMessage::Status || event.type == WatchMessage::Change) {
+    const bool isOfWatches = event.type == WatchMessage::Status || event.type == WatchMessage::Change
+        || event.type == WatchMessage::Verified;
+    if (isOfWatches) {
         receiveFeed(now, event);
         return true;
     }
@@ -54,6 +56,12 @@
     };
     feeding.erase(std::remove_if(feeding.begin(), feeding.end(), isGone), feeding.end());
     m_feed.setMembers(now, feeding);
+    const bool wasVerifier = m_verification.isVerifier();
+    m_verification.setMembers(now, feeding, m_feed.watchers());
+    if (m_verification.isVerifier() != wasVerifier) {
+        logEvent(Events::VerifierChanged, "{} the watches of other daemons",
+                 wasVerifier ? "does not verify" : "verifies");
+    }
     // A build without this feature would decide a relayed request by its own configuration, also by an older one.
     const auto relays = m_features.membersWith(PeerFeature::RelayVersions);
     m_hooks.relaysChanged(relays);
@@ -75,6 +83,11 @@
                 m_feed.receive(now, status);
                 return {};
             }
+            if (event.type == WatchMessage::Verified) {
+                BOOST_LEAF_AUTO(statement, decodeVerifiedRevisions(event.payload));
+                m_verification.receive(now, statement);
+                return {};
+            }
             BOOST_LEAF_AUTO(fed, decodeFedChange(event.payload));
             if (fed.sinceOutage) {
                 m_servers.outageSeen(now - *fed.sinceOutage);
@@ -92,6 +105,7 @@
         carryOut(m_feed.share(now, {std::move(it), m_servers.sinceOutage(now)}));
     }
     auto view = m_feed.view(now);
+    view.verified = m_verification.kinds();
     if (view == m_feedView) {
         return;
     }
--- a/src/gateway/tests/planetest.cpp
+++ b/src/gateway/tests/planetest.cpp
@@ -404,6 +404,11 @@
         m_plane.handle(m_now, KindSyncedEvent{ServerKind, 1});
         m_plane.endBatch(m_now);
     }
+    void receive(const PeerEvent &message)
+    {
+        m_plane.handle(m_now, message);
+        m_plane.endBatch(m_now);
+    }
     void wait(Duration duration)
     {
         m_now += duration;
@@ -413,6 +418,8 @@
         return m_now;
     }
 
+    /// What the store client was told of other daemons.
+    WatchFeedView feed;
     std::vector<ColdServer> cold;
     /// Lists of cold servers and routing snapshots in the order in which they were passed on.
     std::string order;
@@ -461,7 +468,8 @@
         hooks.takeChanges = [] {
             return std::vector<WatchChange>();
         };
-        hooks.setFeed = [](const WatchFeedView &) {
+        hooks.setFeed = [this](const WatchFeedView &it) {
+            feed = it;
         };
         hooks.coldServersChanged = [this](const std::vector<ColdServer> &it) {
             cold = it;
@@ -540,3 +548,15 @@
     plane.putServer("s-2", 1, seconds(9));
     EXPECT_EQ(plane.order.find('c'), std::string::npos);
 }
+
+// review/8. Guards against a statement of a verifier that does not reach the store client, whose watches then wait only
+// briefly at the store's expense, or for too long (CONFIG, DRAIN).
+TEST(PlaneTest, StatementOfAVerifierReachesTheStoreClient)
+{
+    ColdPlane plane(0);
+    plane.receive({{"vm-1", 1}, WatchMessage::Verified, encode(VerifiedRevisions{0, true, {{ServerKind, 7}}})});
+    const auto verified = plane.feed.verified.find(ServerKind);
+    ASSERT_NE(verified, plane.feed.verified.end());
+    EXPECT_EQ(verified->second.lastChange, 7U);
+    EXPECT_GT(verified->second.until, plane.now());
+}
--- a/src/objectstore/events_p.h
+++ b/src/objectstore/events_p.h
@@ -14,4 +14,5 @@
 inline constexpr EventType PlatformRepeatPrevented{607, Severity::Warning, "platform-repeat-prevented"};
 inline constexpr EventType PlatformRestored{608, Severity::Warning, "platform-restored"};
 inline constexpr EventType PlatformSilent{609, Severity::Warning, "platform-silent"};
+inline constexpr EventType PlatformWatchLost{610, Severity::Info, "platform-watch-lost"};
 }
--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -154,11 +154,11 @@
 }
 
 std::unique_ptr<HttpCall> makeWatchList(const StoreClientSettings &settings, const std::string &kind,
-                                        const std::string &after)
+                                        const std::string &after, Duration timeout)
 {
     auto call = std::make_unique<HttpCall>(CallKind::Watch, ObjectKey{kind, {}});
     call->isList = true;
-    call->prepare(settings, settings.dialect.list(kind, after), settings.callTimeout);
+    call->prepare(settings, settings.dialect.list(kind, after), timeout);
     return call;
 }
 
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -118,7 +118,7 @@
 /// Start of a watch: lists one page of the kind's objects, beginning after the name `after` (empty for the first
 /// page). The response has the revision from which to poll.
 std::unique_ptr<HttpCall> makeWatchList(const StoreClientSettings &settings, const std::string &kind,
-                                        const std::string &after);
+                                        const std::string &after, Duration timeout);
 /// Waits for changes of the kind after `revision`, at most for `wait`.
 std::unique_ptr<HttpCall> makeWatchPoll(const StoreClientSettings &settings, const std::string &kind,
                                         std::uint64_t revision, Duration wait);
--- a/src/objectstore/objectdelivery.cpp
+++ b/src/objectstore/objectdelivery.cpp
@@ -1,5 +1,6 @@
 #include "objectstore/objectdelivery_p.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
 {
     restartList();
     revision = 0;
+    lastChange = 0;
+    unchangedSince = 0;
     for (auto &[name, version] : deliveredVersions) {
         version = 0; // the name still tells which objects are missing from the list
     }
@@ -64,7 +67,7 @@
         areTaken = (isOutdated || deliverObject(std::move(it), watch)) && areTaken;
     }
     for (const auto &it : page.removed) {
-        areTaken = deliverRemoval(it, watch) && areTaken;
+        areTaken = deliverRemoval(it, page.revision, watch) && areTaken;
     }
     if (!areTaken) {
         return PageEnd::EventLost;
@@ -73,7 +76,7 @@
         watch.listAfter = page.nextAfter;
         return PageEnd::MorePages;
     }
-    return !isList || reportMissing(kind, watch) ? PageEnd::Complete : PageEnd::EventLost;
+    return !isList || reportMissing(kind, page.revision, watch) ? PageEnd::Complete : PageEnd::EventLost;
 }
 
 bool ObjectDelivery::deliverObject(StoredObject &&object, WatchState &watch) const
@@ -83,20 +86,22 @@
     const bool isTaken = m_handler(ObjectEvent{std::move(object), true});
     if (isTaken) {
         watch.deliveredVersions[name] = version;
+        watch.lastChange = std::max(watch.lastChange, version);
     }
     return isTaken;
 }
 
-bool ObjectDelivery::deliverRemoval(const ObjectKey &key, WatchState &watch) const
+bool ObjectDelivery::deliverRemoval(const ObjectKey &key, std::uint64_t revision, WatchState &watch) const
 {
     const bool isTaken = m_handler(ObjectMissingEvent{key});
     if (isTaken) {
         watch.deliveredVersions.erase(key.name);
+        watch.lastChange = std::max(watch.lastChange, revision);
     }
     return isTaken;
 }
 
-bool ObjectDelivery::reportMissing(const std::string &kind, WatchState &watch) const
+bool ObjectDelivery::reportMissing(const std::string &kind, std::uint64_t revision, WatchState &watch) const
 {
     std::vector<std::string> missing;
     for (const auto &[name, version] : watch.deliveredVersions) {
@@ -106,7 +111,7 @@
     }
     bool areTaken = true;
     for (const auto &it : missing) {
-        areTaken = deliverRemoval({kind, it}, watch) && areTaken;
+        areTaken = deliverRemoval({kind, it}, revision, watch) && areTaken;
     }
     watch.listedNames.clear();
     watch.listAfter.clear();
--- a/src/objectstore/objectdelivery_p.h
+++ b/src/objectstore/objectdelivery_p.h
@@ -10,6 +10,7 @@
 #include <galenarock/storeclient.h>
 
 #include "objectstore/feedlag_p.h"
+#include "objectstore/watchtimer_p.h"
 
 namespace Galenarock
 {
@@ -23,6 +24,12 @@
     bool needsList = true;
     HttpCall *inFlight = nullptr;
     std::uint64_t revision = 0;
+    /// Revision of the kind's last change that was passed on. For a removal, whose own revision is not known, that of
+    /// the page; for the first list, which does not tell what was removed before, its own.
+    std::uint64_t lastChange = 0;
+    /// Nothing of the kind has changed between this revision and `revision`. A change that is passed on begins here, so
+    /// that daemons can use it that missed news of no change.
+    std::uint64_t unchangedSince = 0;
     /// Name after which the next page of a list starts; empty for the first page.
     std::string listAfter;
     /// Versions of the objects that were passed on, by name.
@@ -36,7 +43,10 @@
     /// How long the store may hold the next call open; zero for as long as the settings say.
     Duration wait{};
     Instant listedAt;
+    /// The last list had no answer within StoreClientSettings::listTimeout.
+    bool isListSlow = false;
     FeedLag feedLag;
+    WatchTimer timer;
     /// What the pages of the list in progress have changed, to be passed on.
     WatchChange listed;
 
@@ -75,9 +85,10 @@
 
 private:
     bool deliverObject(StoredObject &&object, WatchState &watch) const;
-    bool deliverRemoval(const ObjectKey &key, WatchState &watch) const;
+    /// `revision` is that of the page.
+    bool deliverRemoval(const ObjectKey &key, std::uint64_t revision, WatchState &watch) const;
     /// Reports objects as missing that were passed on before and that a complete list no longer contains.
-    bool reportMissing(const std::string &kind, WatchState &watch) const;
+    bool reportMissing(const std::string &kind, std::uint64_t revision, WatchState &watch) const;
 
     Handler m_handler;
 };
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -69,6 +69,7 @@
         startQueued(now);
         applyRequestedWatches(now);
         applyFeed(now);
+        resendLostWatches(now);
         startWatches(now);
         startVmList(now);
         startHeartbeat(now);
--- a/src/objectstore/storeclient_p.h
+++ b/src/objectstore/storeclient_p.h
@@ -59,8 +59,13 @@
 
     // storewatches.cpp
     void applyRequestedWatches(Instant now);
+    void resendLostWatches(Instant now);
+    /// What verifiers state of the kind; null for nothing.
+    const VerifiedKind *verifiedKind(const std::string &kind) const;
     void startWatches(Instant now);
     std::unique_ptr<HttpCall> makeWatchCall(Instant now, const std::string &kind, WatchState &state) const;
+    std::unique_ptr<HttpCall> makeList(const std::string &kind, const WatchState &state) const;
+    std::unique_ptr<HttpCall> makePoll(Instant now, const std::string &kind, WatchState &state) const;
     /// State of the watch that made the call; null for other calls.
     WatchState *watchOf(const HttpCall &call);
     bool hasWaitingWatch() const;
--- a/src/objectstore/storefeed.cpp
+++ b/src/objectstore/storefeed.cpp
@@ -34,6 +34,7 @@
         state.feedLag.lost(now, m_settings.feedGrace);
         return;
     }
+    const bool isNews = !change.items.empty() || !change.removed.empty();
     ObjectPage page;
     page.revision = change.to;
     page.items = std::move(change.items);
@@ -44,7 +45,10 @@
     }
     m_metrics.counter("galenarock_platform_changes_total", "source=\"peer\"").add();
     state.revision = change.to;
-    m_handler(KindSyncedEvent{change.kind, change.to});
+    if (isNews) {
+        state.unchangedSince = change.to;
+    }
+    m_handler(KindSyncedEvent{change.kind, change.to, state.lastChange});
 }
 
 /// Whether the kind needs no watch call of this daemon now.
@@ -74,13 +78,13 @@
     if (call.isList) {
         return changeOfList(call, page, watch);
     }
-    return {call.key.kind, m_era, watch.revision, page.revision, page.items, page.removed};
+    return {call.key.kind, m_era, watch.unchangedSince, page.revision, page.items, page.removed};
 }
 
 WatchChange StoreClient::Private::changeOfList(const HttpCall &call, const ObjectPage &page, WatchState &watch) const
 {
     if (watch.listAfter.empty()) {
-        watch.listed = {call.key.kind, m_era, watch.revision, page.revision, {}, {}};
+        watch.listed = {call.key.kind, m_era, watch.unchangedSince, page.revision, {}, {}};
     }
     for (const auto &it : page.items) {
         if (it.version > watch.listed.from) {
--- a/src/objectstore/storeresponses.cpp
+++ b/src/objectstore/storeresponses.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "objectstore/answers_p.h"
@@ -8,6 +9,15 @@
 namespace Galenarock
 {
 
+namespace
+{
+/// Whether the kind may have changed since the page before. A list does not tell what was removed meanwhile.
+bool mayHoldNews(const HttpCall &call, const ObjectPage &page)
+{
+    return call.isList || !page.items.empty() || !page.removed.empty() || !page.skipped.empty();
+}
+}
+
 void StoreClient::Private::onRead(const HttpCall &call)
 {
     if (call.code == CURLE_OK && call.status == 404) {
@@ -86,6 +96,7 @@
         return;
     }
     auto change = changeOf(call, page, *watch);
+    const bool isNews = mayHoldNews(call, page);
     switch (m_delivery.deliver(kind, page, call.isList, *watch)) {
     case PageEnd::MorePages:
         return;
@@ -95,7 +106,9 @@
     case PageEnd::Complete:
         break;
     }
-    finishPage(call, call.isList ? watch->listRevision : page.revision, *watch, std::move(change));
+    const auto revision = call.isList ? watch->listRevision : page.revision;
+    watch->unchangedSince = isNews ? revision : std::min(watch->unchangedSince, revision);
+    finishPage(call, revision, *watch, std::move(change));
 }
 
 /// All objects of the kind up to `revision` have been passed on; `change` says which of them are new.
@@ -110,8 +123,11 @@
         watch.needsList = false;
     }
     const bool isNew = revision > watch.revision;
+    if (watch.revision == 0) {
+        watch.lastChange = std::max(watch.lastChange, revision);
+    }
     watch.revision = revision;
-    m_handler(KindSyncedEvent{call.key.kind, revision});
+    m_handler(KindSyncedEvent{call.key.kind, revision, watch.lastChange});
     if (isNew) {
         share(std::move(change));
     }
--- a/src/objectstore/storewatches.cpp
+++ b/src/objectstore/storewatches.cpp
@@ -1,6 +1,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "objectstore/events_p.h"
 #include "objectstore/storeclient_p.h"
 
 /// The calls of the watches of the store client: when each is made and how long it waits.
@@ -56,8 +59,7 @@
 std::unique_ptr<HttpCall> StoreClient::Private::makeWatchCall(Instant now, const std::string &kind,
                                                               WatchState &state) const
 {
-    auto call = state.needsList ? makeWatchList(m_settings, kind, state.listAfter)
-                                : makeWatchPoll(m_settings, kind, state.revision, waitOf(state));
+    auto call = state.needsList ? makeList(kind, state) : makePoll(now, kind, state);
     call->continuesEarlierCall = !state.needsList || !state.listAfter.empty();
     call->fromRevision = state.revision;
     if (state.needsList) {
@@ -66,6 +68,51 @@
     return call;
 }
 
+std::unique_ptr<HttpCall> StoreClient::Private::makeList(const std::string &kind, const WatchState &state) const
+{
+    const auto timeout = state.isListSlow ? m_settings.callTimeout : m_settings.listTimeout;
+    return makeWatchList(m_settings, kind, state.listAfter, std::min(timeout, m_settings.callTimeout));
+}
+
+std::unique_ptr<HttpCall> StoreClient::Private::makePoll(Instant now, const std::string &kind, WatchState &state) const
+{
+    const auto wait = WatchTimer::limitWait(m_settings.watchTimer, now, verifiedKind(kind), waitOf(state));
+    state.timer.sent(now, wait);
+    return makeWatchPoll(m_settings, kind, state.revision, wait);
+}
+
+const VerifiedKind *StoreClient::Private::verifiedKind(const std::string &kind) const
+{
+    const auto found = m_feed.verified.find(kind);
+    return found == m_feed.verified.end() ? nullptr : &found->second;
+}
+
+/// Sends watches again that the store has lost in a silence too short for any other call to notice. During a longer one
+/// the heartbeats do that, once it has ended.
+void StoreClient::Private::resendLostWatches(Instant now)
+{
+    if (!m_settings.dialect.heartbeat || m_heartbeat.isSilent() || m_budget.isInOutage()) {
+        return;
+    }
+    for (auto &[kind, state] : m_watches) {
+        if (state.inFlight == nullptr || state.inFlight->isList) {
+            continue;
+        }
+        const auto *verified = verifiedKind(kind);
+        const auto loss = state.timer.findLoss(m_settings.watchTimer, now, verified, state.revision);
+        if (!loss) {
+            continue;
+        }
+        const auto reason = nameOf(*loss);
+        m_metrics.counter("galenarock_platform_watches_lost_total", fmt::format("reason=\"{}\"", reason)).add();
+        const auto age = duration_cast<milliseconds>(now - state.inFlight->sentAt).count();
+        logEvent(Events::PlatformWatchLost, "{}: {}, no answer for {} ms; sent again from revision {}, last change {}",
+                 kind, reason, age, state.revision, verified ? verified->lastChange : 0);
+        cancel(*std::exchange(state.inFlight, nullptr));
+        state.nextAt = now;
+    }
+}
+
 WatchState *StoreClient::Private::watchOf(const HttpCall &call)
 {
     const auto found = call.kind == CallKind::Watch ? m_watches.find(call.key.kind) : m_watches.end();
@@ -112,6 +159,12 @@
     const bool isHistoryGone = finished.code == CURLE_OK && finished.status == 410;
     const bool isSuccess = finished.isOk() || isHistoryGone;
     const auto pause = finished.isList ? Duration::zero() : watchPause();
+    if (isSuccess) {
+        watch.timer.answered();
+    }
+    if (finished.isList) {
+        watch.isListSlow = finished.code == CURLE_OPERATION_TIMEDOUT;
+    }
     watch.nextAt = MonotonicClock::now() + (isSuccess ? pause : WatchRetryDelay);
     if (!finished.isOk() && (isHistoryGone || finished.isList)) {
         watch.restartList();
--- a/src/objectstore/watchfeed.cpp
+++ b/src/objectstore/watchfeed.cpp
@@ -203,13 +203,16 @@
     const bool wasWatcher = std::exchange(m_isWatcher, false);
     m_receivers.clear();
     m_otherWatchers.clear();
-    if (members.size() < m_settings.smallestFleet) {
-        return;
-    }
     const auto watchers = chooseWatchers(members);
     std::set<std::string> names;
+    m_watchers.clear();
     for (const auto *it : watchers) {
         names.insert(it->identity.name);
+        m_watchers.push_back(it->identity.name);
+    }
+    if (members.size() < m_settings.smallestFleet) {
+        addOtherWatchers(members, names);
+        return;
     }
     m_isWatcher = names.count(m_self.name) > 0;
     if (!m_isWatcher) {
@@ -232,6 +235,16 @@
     }
 }
 
+/// In a small fleet the daemons that were not chosen watch as well.
+void WatchFeed::addOtherWatchers(const std::vector<Member> &members, const std::set<std::string> &chosen)
+{
+    for (const auto &it : members) {
+        if (chosen.count(it.identity.name) == 0) {
+            m_watchers.push_back(it.identity.name);
+        }
+    }
+}
+
 void WatchFeed::setEra(std::uint64_t era)
 {
     if (era == m_era) {
