Keep bytes and errors that nobody expected from ending the process

Cause: two faults. The value of a header, which may hold bytes from 0x80, went into the JSON body of the next grant; dump() throws for what is not UTF-8. And the thread "orders" had no guard, so that the error of one call ended the process.

Tasks, sockets and passes of the caller threads, store requests, watches, libcurl callbacks of store calls, sockets and messages of the peer thread and operators' requests are guarded. A lease call, grant call or write that cannot be made ends with a reply, so that nothing waits for it for ever.

--- a/src/base/eventlog.cpp
+++ b/src/base/eventlog.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <galenarock/base.h>
+#include <galenarock/jsontext.h>
 
 namespace Galenarock
 {
@@ -121,7 +122,7 @@
     if (*omitted > 0) {
         line["omittedBefore"] = *omitted;
     }
-    if (!writeWithoutBlocking(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n")) {
+    if (!writeWithoutBlocking(jsonText(line) + "\n")) {
         droppedLines.fetch_add(1, std::memory_order_relaxed);
     }
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 #include "config/events_p.h"
 
 namespace Galenarock
@@ -154,7 +156,7 @@
         return;
     }
     // Invalid UTF-8 can only originate in this process; replace it, as an exception would terminate the control thread.
-    auto text = object.value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    auto text = jsonText(object.value);
     m_counters.fromPlatform += accept({object.key, object.version, object.writer, std::move(text)}) ? 1 : 0;
 }
 
--- a/src/ctl/clustercommands.cpp
+++ b/src/ctl/clustercommands.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <galenarock/assignment.h>
+#include <galenarock/jsontext.h>
 
 #include "explanationtext_p.h"
 
@@ -45,7 +46,7 @@
 
 std::string valueText(const json &value)
 {
-    return value.is_string() ? value.get<std::string>() : value.dump(-1, ' ', false, json::error_handler_t::replace);
+    return value.is_string() ? value.get<std::string>() : jsonText(value);
 }
 
 bool isNested(const json &value)
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock::Ctl
 {
 
@@ -93,7 +95,7 @@
     const ObjectClient client(context, arguments.platform);
     BOOST_LEAF_AUTO(stored, client.read({ObjectKind::Service, arguments.operands.at(0)}));
     return CommandResult{
-        ExitStatus::Done, stored.value.dump(2) + "\n", {{"version", stored.version}, {"document", stored.value}}};
+        ExitStatus::Done, jsonText(stored.value, 2) + "\n", {{"version", stored.version}, {"document", stored.value}}};
 }
 
 Result<CommandResult> diffCommand(const Context &context, const Arguments &arguments)
--- a/src/ctl/explanationtext.cpp
+++ b/src/ctl/explanationtext.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 #include "commands_p.h"
 
 namespace Galenarock::Ctl
@@ -21,7 +23,7 @@
     if (it == object.end() || it->is_null()) {
         return {};
     }
-    return it->is_string() ? it->get<std::string>() : it->dump(-1, ' ', false, json::error_handler_t::replace);
+    return it->is_string() ? it->get<std::string>() : jsonText(*it);
 }
 
 const json &member(const json &object, const char *name)
--- a/src/ctl/objects.cpp
+++ b/src/ctl/objects.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock::Ctl
 {
 
@@ -185,7 +187,7 @@
 {
     const auto writer = m_context.nonce();
     const json body{{"expectedVersion", expectedVersion}, {"writer", std::to_string(writer)}, {"value", value}};
-    const HttpRequest request{"PUT", {}, objectTarget(key), body.dump(), team};
+    const HttpRequest request{"PUT", {}, objectTarget(key), jsonText(body), team};
     bool wasResponseLost = false;
     milliseconds retryDelay = initialRetryDelay;
     for (int n = 0; n < maxWriteAttempts; ++n, retryDelay *= 2) {
--- a/src/daemon/adminserver.cpp
+++ b/src/daemon/adminserver.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include "base/guard_p.h"
+
 namespace Galenarock
 {
 
@@ -35,7 +37,9 @@
         const char *value = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
         return std::string(value ? value : "");
     };
-    return queueResponse(connection, static_cast<AdminServer *>(server)->handler()(request));
+    AdminResponse response{500, "application/json", "{\"error\":\"the request could not be answered\"}\n"};
+    runGuarded("request for operators", [&] { response = static_cast<AdminServer *>(server)->handler()(request); });
+    return queueResponse(connection, response);
 }
 }
 
--- a/src/daemon/callerthread.cpp
+++ b/src/daemon/callerthread.cpp
@@ -8,6 +8,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "base/guard_p.h"
+
 namespace Galenarock
 {
 
@@ -74,14 +76,15 @@
         for (int it = 0; it < n; ++it) {
             const auto &event = events[static_cast<std::size_t>(it)];
             if (event.data.u64 & UpstreamTag) {
-                m_upstream.handleSocket(static_cast<int>(event.data.u64 & 0xffffffffULL), event.events);
+                const auto fd = static_cast<int>(event.data.u64 & 0xffffffffULL);
+                runGuarded("server connection", [&] { m_upstream.handleSocket(fd, event.events); });
                 continue;
             }
             std::uint64_t count = 0;
             static_cast<void>(!read(m_wakeFd, &count, sizeof count));
         }
         runTasks();
-        m_upstream.run(MonotonicClock::now());
+        runGuarded("server connections", [&] { m_upstream.run(MonotonicClock::now()); });
     }
 }
 
@@ -89,7 +92,7 @@
 {
     std::shared_ptr<Task> task;
     while (m_ring.tryPop(task)) {
-        (*task)(m_upstream);
+        runGuarded("task of a caller thread", [&] { (*task)(m_upstream); });
     }
 }
 
--- a/src/daemon/callerthread_p.h
+++ b/src/daemon/callerthread_p.h
@@ -24,7 +24,7 @@
     CallerThread &operator=(const CallerThread &) = delete;
 
     /// Queues `task` to run on this thread. False if the ring is full; the task is then dropped. Only one thread may
-    /// call this.
+    /// call this. An exception ends the task alone: who waits for its outcome has to be told by the task itself.
     bool post(Task task);
     /// Ends the thread and aborts calls in flight; their hooks are not called.
     void stop();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
 #include <galenarock/proxy.h>
@@ -317,7 +318,7 @@
         return {200, "text/plain; version=0.0.4", metrics.prometheusText()};
     }
     if (request.path == "/status") {
-        return {200, "application/json", plane->status()->dump(2) + "\n"};
+        return {200, "application/json", jsonText(*plane->status(), 2) + "\n"};
     }
     if (request.path == "/explain") {
         return explain(request);
@@ -342,7 +343,7 @@
     json["owner"] = owner.server == noServer ? "" : toString(route->servers()[owner.server].identity);
     json["address"] = owner.server == noServer ? "" : route->servers()[owner.server].address;
     json["decisions"] = plane->decisions().find(service, hash);
-    return {200, "application/json", json.dump(2) + "\n"};
+    return {200, "application/json", jsonText(json, 2) + "\n"};
 }
 
 Daemon::Daemon(Settings settings)
--- a/src/daemon/servercaller.cpp
+++ b/src/daemon/servercaller.cpp
@@ -2,6 +2,10 @@
 
 #include <memory>
 
+#include <galenarock/jsontext.h>
+
+#include "base/guard_p.h"
+
 namespace Galenarock
 {
 
@@ -34,8 +38,12 @@
 bool ServerCaller::call(CallServerAction action)
 {
     m_openCalls.fetch_add(1, std::memory_order_acq_rel);
-    const bool isPosted =
-        m_thread.post([this, action = std::move(action)](UpstreamClient &upstream) { start(upstream, action); });
+    const bool isPosted = m_thread.post([this, action = std::move(action)](UpstreamClient &upstream) {
+        const auto sentAt = MonotonicClock::now();
+        if (!runGuarded("grant call", [&] { start(upstream, action); })) {
+            finish(action, sentAt, {}, {});
+        }
+    });
     if (!isPosted) {
         m_openCalls.fetch_sub(1, std::memory_order_acq_rel);
         m_failures.add();
@@ -52,7 +60,7 @@
 {
     const auto call = std::make_shared<OpenCall>();
     call->action = std::move(action);
-    call->body = toJson(call->action.request).dump();
+    call->body = jsonText(toJson(call->action.request));
     call->sentAt = MonotonicClock::now();
     AttemptRequest request;
     request.method = "POST";
--- a/src/document/checks.cpp
+++ b/src/document/checks.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock
 {
 
@@ -80,8 +82,8 @@
     const bool below = n < info.minimum;
     const auto bound = below ? info.minimum : info.maximum;
     const auto unit = info.unit.empty() ? std::string() : fmt::format(" {}", info.unit);
-    const auto shown = value.is_number() ? value.dump() : fmt::format("length {}", n);
-    return fmt::format("{} is {} {}{}", shown, below ? "below" : "above", json(bound).dump(), unit);
+    const auto shown = value.is_number() ? jsonText(value) : fmt::format("length {}", n);
+    return fmt::format("{} is {} {}{}", shown, below ? "below" : "above", jsonText(json(bound)), unit);
 }
 
 bool isName(const std::string &text)
@@ -111,10 +113,10 @@
     for (const auto &it : value) {
         const auto &method = it.get_ref<const std::string &>();
         if (method.empty() || method.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ-") != std::string::npos) {
-            return fmt::format("{} is not a method in capital letters", it.dump());
+            return fmt::format("{} is not a method in capital letters", jsonText(it));
         }
         if (std::find(seen.begin(), seen.end(), method) != seen.end()) {
-            return fmt::format("{} is listed twice", it.dump());
+            return fmt::format("{} is listed twice", jsonText(it));
         }
         seen.push_back(method);
     }
@@ -128,16 +130,16 @@
     }
     const auto &text = value.get_ref<const std::string &>();
     if (info.type == FieldType::Choice) {
-        return isChoice(info.choices, text) ? "" : fmt::format("{} is none of {}", value.dump(), info.choices);
+        return isChoice(info.choices, text) ? "" : fmt::format("{} is none of {}", jsonText(value), info.choices);
     }
     if (info.pointer != "/key/header") {
-        return isName(text) ? "" : fmt::format("{} must start with a-z and use only a-z, 0-9 and '-'", value.dump());
+        return isName(text) ? "" : fmt::format("{} must start with a-z and use only a-z, 0-9 and '-'", jsonText(value));
     }
     if (!isHttpToken(text)) {
-        return fmt::format("{} is not an HTTP header name", value.dump());
+        return fmt::format("{} is not an HTTP header name", jsonText(value));
     }
     // The daemon sets these headers itself.
-    return lowerCase(text).rfind("galenarock-", 0) == 0 ? fmt::format("{} is reserved", value.dump()) : "";
+    return lowerCase(text).rfind("galenarock-", 0) == 0 ? fmt::format("{} is reserved", jsonText(value)) : "";
 }
 
 std::size_t editDistance(std::string_view a, std::string_view b)
--- a/src/document/difference.cpp
+++ b/src/document/difference.cpp
@@ -1,6 +1,7 @@
 #include <map>
 
 #include <galenarock/document.h>
+#include <galenarock/jsontext.h>
 
 namespace Galenarock
 {
@@ -12,7 +13,7 @@
 
 std::string shown(const json &value)
 {
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+    return jsonText(value);
 }
 
 /// Collects the values that are not objects, and empty objects, under their pointers.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/metrics.h>
 #include <galenarock/peer.h>
 #include <galenarock/proxy.h>
@@ -472,7 +473,7 @@
         return {200, "text/plain; version=0.0.4", metrics.prometheusText()};
     }
     if (request.path == "/status") {
-        return {200, "application/json", controlPlane->status().dump(2) + "\n"};
+        return {200, "application/json", jsonText(controlPlane->status(), 2) + "\n"};
     }
     return {404, "application/json", "{\"error\":\"unknown path\"}\n"};
 }
@@ -516,7 +517,7 @@
 AdminResponse Gateway::Impl::answerExplain(const AdminRequest &request)
 {
     const auto refuse = [](unsigned status, std::string_view error) {
-        return AdminResponse{status, "application/json", nlohmann::json{{"error", error}}.dump() + "\n"};
+        return AdminResponse{status, "application/json", jsonText(nlohmann::json{{"error", error}}) + "\n"};
     };
     ExplainedRequest explained{
         request.argument("method"), request.argument("host"), request.argument("path"), request.argument("key"), {}};
@@ -533,7 +534,7 @@
     }
     auto explanation = Galenarock::explain(explained, explanationInput());
     explanation["daemon"] = toString(self);
-    return {200, "application/json", explanation.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"};
+    return {200, "application/json", jsonText(explanation, 2) + "\n"};
 }
 
 Gateway::Gateway(Settings settings, GatewayDialect dialect)
--- a/src/gateway/leasecaller.cpp
+++ b/src/gateway/leasecaller.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "base/guard_p.h"
 #include "base/sockets_p.h"
 #include "leases/events_p.h"
 #include "proxy/headerfields_p.h"
@@ -73,7 +74,11 @@
 
 void LeaseCaller::call(const LeaseCall &call)
 {
-    const bool isPosted = m_thread.post([this, call](UpstreamClient &upstream) { start(upstream, call); });
+    const bool isPosted = m_thread.post([this, call](UpstreamClient &upstream) {
+        const auto pending = std::make_shared<PendingCall>();
+        pending->reply = {call, MonotonicClock::now(), LeaseCallStatus::NotSent, {}};
+        runOrReport(pending, [&] { start(upstream, pending); });
+    });
     if (!isPosted) {
         m_metrics.counter("galenarock_orders_total", "result=\"ring-full\"").add();
         m_onReply({call, MonotonicClock::now(), LeaseCallStatus::Late, 0, {}, "too many lease calls are queued"});
@@ -91,10 +96,21 @@
     return true;
 }
 
-void LeaseCaller::start(UpstreamClient &upstream, const LeaseCall &call)
+/// Runs a step of the call. The call must end even if an exception ends the step, or its range would wait for ever.
+template<typename Step> void LeaseCaller::runOrReport(const Pending &pending, const Step &step)
 {
-    const auto pending = std::make_shared<PendingCall>();
-    pending->reply = {call, MonotonicClock::now(), LeaseCallStatus::NotSent, {}};
+    if (runGuarded("lease call", step)) {
+        return;
+    }
+    // Whether the step has sent the call is not known.
+    pending->reply.status = LeaseCallStatus::Unknown;
+    pending->reply.detail = "the call could not be carried out";
+    runGuarded("end of a lease call", [&] { report(*pending); });
+}
+
+void LeaseCaller::start(UpstreamClient &upstream, const Pending &pending)
+{
+    const auto &call = pending->reply.call;
     if (isTooLate(*pending)) {
         pending->reply.detail = "the call waited too long in this process";
         report(*pending);
@@ -150,11 +166,13 @@
     };
     hooks.onData = discardBody();
     hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
-        if (std::exchange(pending->needsCheck, false)) {
-            checkNewConnection(upstream, pending);
-            return;
-        }
-        finish(*pending, result);
+        runOrReport(pending, [&] {
+            if (std::exchange(pending->needsCheck, false)) {
+                checkNewConnection(upstream, pending);
+                return;
+            }
+            finish(*pending, result);
+        });
     };
     pending->attempt = upstream.start(std::move(request), std::move(hooks));
 }
@@ -210,7 +228,7 @@
     };
     hooks.onData = discardBody();
     hooks.onDone = [this, &upstream, pending](const AttemptResult &result) {
-        finishCheck(upstream, pending, result);
+        runOrReport(pending, [&] { finishCheck(upstream, pending, result); });
     };
     pending->attempt = upstream.start(std::move(request), std::move(hooks));
 }
--- a/src/gateway/leasecaller_p.h
+++ b/src/gateway/leasecaller_p.h
@@ -30,7 +30,8 @@
 
     using Pending = std::shared_ptr<PendingCall>;
 
-    void start(UpstreamClient &upstream, const LeaseCall &call);
+    template<typename Step> void runOrReport(const Pending &pending, const Step &step);
+    void start(UpstreamClient &upstream, const Pending &pending);
     static AttemptRequest requestFor(const LeaseCall &call, const LeaseHttpCall &http);
     void send(UpstreamClient &upstream, const Pending &pending);
     /// Whether the call may go over the chosen connection.
--- a/src/gateway/tests/leasecallertest.cpp
+++ b/src/gateway/tests/leasecallertest.cpp
@@ -555,3 +555,30 @@
         EXPECT_EQ(fleet.accepted(), servers) << "round " << round;
     }
 }
+
+// review/7. Guards against a call that cannot be written and ends the process, or never ends and keeps its range from
+// all servers (LOST).
+TEST_F(LeaseCallerTest, CallThatCannotBeWrittenHasAReply)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; });
+    const auto encode = dialect.encodeLeaseCall;
+    dialect.encodeLeaseCall = [](const LeaseCall &) -> LeaseHttpCall {
+        throw std::runtime_error("not expected");
+    };
+    const auto failed = call(server.address(), later());
+    EXPECT_EQ(failed.status, LeaseCallStatus::Unknown);
+    EXPECT_FALSE(failed.detail.empty());
+    dialect.encodeLeaseCall = encode;
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Accepted);
+}
+
+// As above for a reply that cannot be read.
+TEST_F(LeaseCallerTest, ReplyThatCannotBeReadEndsItsCall)
+{
+    RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; });
+    dialect.decodeLeaseReply = [](unsigned, const HeaderLookup &, LeaseReplyEvent &) {
+        throw std::runtime_error("not expected");
+    };
+    EXPECT_EQ(call(server.address(), later()).status, LeaseCallStatus::Unknown);
+    EXPECT_EQ(call(checkedGrant(server.address())).status, LeaseCallStatus::Unknown);
+}
--- a/src/objectstore/httpcall.cpp
+++ b/src/objectstore/httpcall.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "base/guard_p.h"
 #include "base/sockets_p.h"
 
 namespace Galenarock
@@ -112,8 +113,8 @@
         return 0;
     }
     call.m_takenBytes += n;
-    call.response.append(data, size * count);
-    return size * count;
+    const bool isTaken = runGuarded("response of the platform", [&] { call.response.append(data, n); });
+    return isTaken ? n : 0;
 }
 
 std::size_t HttpCall::onHeader(char *data, std::size_t size, std::size_t count, void *self)
@@ -123,14 +124,21 @@
     if (call.m_headBytes > MaxHeadBytes) {
         return 0;
     }
-    if (call.m_head.addLine({data, size * count}) == HeadProgress::Malformed) {
-        return 0;
+    bool isTaken = false;
+    runGuarded("response head of the platform", [&] { isTaken = call.takeHeadLine({data, size * count}); });
+    return isTaken ? size * count : 0;
+}
+
+bool HttpCall::takeHeadLine(std::string_view line)
+{
+    if (m_head.addLine(line) == HeadProgress::Malformed) {
+        return false;
     }
-    if (call.m_head.isComplete() && !call.m_eraHeader.empty()) {
-        const auto value = fieldOf(call.m_head.fields(), call.m_eraHeader);
-        std::from_chars(value.data(), value.data() + value.size(), call.era);
+    if (m_head.isComplete() && !m_eraHeader.empty()) {
+        const auto value = fieldOf(m_head.fields(), m_eraHeader);
+        std::from_chars(value.data(), value.data() + value.size(), era);
     }
-    return size * count;
+    return true;
 }
 
 std::unique_ptr<HttpCall> makeCall(const StoreClientSettings &settings, const StoreRequest &request)
--- a/src/objectstore/httpcall_p.h
+++ b/src/objectstore/httpcall_p.h
@@ -103,6 +103,8 @@
     static int beforeSend(void *self, char *, char *, int, int);
     static std::size_t onData(char *data, std::size_t size, std::size_t count, void *self);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
+    /// Returns false for a line that no response head may have.
+    bool takeHeadLine(std::string_view line);
 
     CURL *m_easy;
     std::string m_eraHeader;
--- a/src/objectstore/nativedialect.cpp
+++ b/src/objectstore/nativedialect.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/readablejson.h>
 #include <galenarock/storeclient.h>
 
@@ -37,8 +38,7 @@
 {
     const json body{
         {"expectedVersion", write.expectedVersion}, {"writer", std::to_string(write.writer)}, {"value", write.value}};
-    return {"PUT", fmt::format("{}/{}", objectsPath(write.key.kind), escapeSegment(write.key.name)),
-            body.dump(-1, ' ', false, json::error_handler_t::replace)};
+    return {"PUT", fmt::format("{}/{}", objectsPath(write.key.kind), escapeSegment(write.key.name)), jsonText(body)};
 }
 
 /// Adds the item to the page, or a finding if it cannot be decoded.
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -60,19 +60,8 @@
 {
     while (!m_stop.load()) {
         const auto now = MonotonicClock::now();
-        m_budget.setDaemonCount(m_daemonCount.load());
-        repeatEraIfLost();
-        takeRequests(now);
-        while (const auto expired = m_queue.takeExpired(now, m_settings.queueTimeout)) {
-            dropUnsentCall(*expired);
-        }
-        startQueued(now);
-        applyRequestedWatches(now);
-        applyFeed(now);
-        resendLostWatches(now);
-        startWatches(now);
-        startVmList(now);
-        startHeartbeat(now);
+        runGuarded("requests to the platform", [&] { startRequests(now); });
+        runGuarded("watches of the platform", [&] { startWaitingCalls(now); });
         int running = 0;
         curl_multi_perform(m_multi, &running);
         finishCalls();
@@ -80,17 +69,53 @@
     }
 }
 
+void StoreClient::Private::startRequests(Instant now)
+{
+    m_budget.setDaemonCount(m_daemonCount.load());
+    repeatEraIfLost();
+    takeRequests(now);
+    while (const auto expired = m_queue.takeExpired(now, m_settings.queueTimeout)) {
+        dropUnsentCall(*expired);
+    }
+    startQueued(now);
+}
+
+void StoreClient::Private::startWaitingCalls(Instant now)
+{
+    applyRequestedWatches(now);
+    applyFeed(now);
+    resendLostWatches(now);
+    startWatches(now);
+    startVmList(now);
+    startHeartbeat(now);
+}
+
 void StoreClient::Private::takeRequests(Instant now)
 {
     std::shared_ptr<StoreRequest> request;
     while (m_ring.tryPop(request)) {
-        const auto priority = std::visit([](const auto &it) { return it.priority; }, *request);
-        if (const auto refused = m_queue.push(makeCall(m_settings, *request), priority, now)) {
-            dropUnsentCall(*refused);
+        if (!runGuarded("request to the platform", [&] { takeRequest(now, *request); })) {
+            reportUnencodable(*request);
         }
     }
 }
 
+void StoreClient::Private::takeRequest(Instant now, const StoreRequest &request)
+{
+    const auto priority = std::visit([](const auto &it) { return it.priority; }, request);
+    if (const auto refused = m_queue.push(makeCall(m_settings, request), priority, now)) {
+        dropUnsentCall(*refused);
+    }
+}
+
+/// A writer waits for the outcome of each write, also of one that the dialect could not express.
+void StoreClient::Private::reportUnencodable(const StoreRequest &request)
+{
+    if (const auto *write = std::get_if<WriteObjectAction>(&request)) {
+        m_handler(WriteResultEvent{write->key, write->writer, MonotonicClock::now(), WriteStatus::NotSent, {}});
+    }
+}
+
 void StoreClient::Private::startQueued(Instant now)
 {
     m_queue.takeAllowed(now, m_budget, [this](auto call) { start(std::move(call)); });
--- a/src/objectstore/storeclient_p.h
+++ b/src/objectstore/storeclient_p.h
@@ -47,7 +47,11 @@
 
 private:
     void run();
+    void startRequests(Instant now);
+    void startWaitingCalls(Instant now);
     void takeRequests(Instant now);
+    void takeRequest(Instant now, const StoreRequest &request);
+    void reportUnencodable(const StoreRequest &request);
     void startQueued(Instant now);
     void dropUnsentCall(const HttpCall &call);
     void startVmList(Instant now);
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -616,3 +616,23 @@
     EXPECT_EQ(fixture.write().status, WriteStatus::Applied);
     EXPECT_EQ(fixture.next<ObjectEvent>().object.version, 61U);
 }
+
+// review/7. Guards against a request that the dialect cannot write and that ends the process, or whose writer waits for
+// ever.
+TEST(StoreClient, requestThatCannotBeWrittenHasAnOutcome)
+{
+    Fixture fixture([](const std::string &) { return std::optional(ScriptedServer::response(200, "{\"version\":1}")); },
+                    [](StoreClientSettings &settings) {
+                        const auto write = settings.dialect.write;
+                        settings.dialect.write = [write](const WriteObjectAction &action) {
+                            return action.expectedVersion == 13 ? throw std::runtime_error("not expected")
+                                                                : write(action);
+                        };
+                        settings.dialect.watch = [](const std::string &, std::uint64_t, Duration) -> StoreCall {
+                            throw std::runtime_error("not expected");
+                        };
+                    });
+    EXPECT_EQ(fixture.write(13).status, WriteStatus::NotSent);
+    fixture.client.setWatch("mandate", true);
+    EXPECT_EQ(fixture.write(4).status, WriteStatus::Applied);
+}
--- a/src/objectstore/watchfeed.cpp
+++ b/src/objectstore/watchfeed.cpp
@@ -6,6 +6,8 @@
 
 #include <cereal/types/string.hpp>
 
+#include <galenarock/jsontext.h>
+
 #include "peer/message_p.h"
 
 namespace Galenarock
@@ -108,8 +110,7 @@
         wire.sinceOutageMs = duration_cast<milliseconds>(*fed.sinceOutage).count();
     }
     for (const auto &it : change.items) {
-        wire.objects.push_back({it.key.name, it.version, it.writer,
-                                it.value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
+        wire.objects.push_back({it.key.name, it.version, it.writer, jsonText(it.value)});
     }
     for (const auto &it : change.removed) {
         wire.objects.push_back({it.name, 0, 0, {}});
--- a/src/ownership/spread.cpp
+++ b/src/ownership/spread.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock
 {
 
@@ -35,10 +37,10 @@
     const auto &mandate = m_mandateWriter.object();
     OwnershipMessages::AssignmentUpdate update{m_settings.shard, mandate.version, mandate.writer, {}, {}};
     if (mandate.version != 0) {
-        update.mandate = mandate.value.dump();
+        update.mandate = jsonText(mandate.value);
     }
     if (m_published) {
-        update.assignment = toJson(*m_published).dump();
+        update.assignment = jsonText(toJson(*m_published));
     }
     return update;
 }
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -67,7 +67,9 @@
     void run();
     void pollOnce();
     int pollTimeoutMs() const;
+    void handleSocket(const epoll_event &event, Instant now);
     void sendQueued();
+    void sendOrDelay(const SendPeerAction &message, Instant now);
     void sendDelayed(Instant now);
     void sendNow(const SendPeerAction &message, Instant now);
     void transmit(const SendPeerAction &message, const std::string &frame, const sockaddr_in &address, Instant now);
@@ -223,40 +225,49 @@
     const int count = ::epoll_wait(m_epoll.get(), events, MaxEventsPerPoll, pollTimeoutMs());
     const auto now = MonotonicClock::now();
     for (int n = 0; n < count; ++n) {
-        const int fd = events[n].data.fd;
-        if (fd == m_wakeEvent.get()) {
-            std::uint64_t ignored = 0;
-            static_cast<void>(::read(fd, &ignored, sizeof ignored) < 0);
-        } else if (fd == m_sockets.datagram.get()) {
-            receiveDatagrams();
-        } else if (fd == m_sockets.listener.get()) {
-            m_streams.acceptConnections(fd, now);
-        } else if (m_streams.owns(fd)) {
-            m_streams.onReady(fd, events[n].events, now);
-        }
+        runGuarded("socket of other daemons", [&] { handleSocket(events[n], now); });
     }
     sendQueued();
-    sendDelayed(now);
-    m_streams.closeIdle(now);
+    runGuarded("delayed messages", [&] { sendDelayed(now); });
+    runGuarded("idle connections of daemons", [&] { m_streams.closeIdle(now); });
+}
+
+void PeerTransport::Private::handleSocket(const epoll_event &event, Instant now)
+{
+    const int fd = event.data.fd;
+    if (fd == m_wakeEvent.get()) {
+        std::uint64_t ignored = 0;
+        static_cast<void>(::read(fd, &ignored, sizeof ignored) < 0);
+    } else if (fd == m_sockets.datagram.get()) {
+        receiveDatagrams();
+    } else if (fd == m_sockets.listener.get()) {
+        m_streams.acceptConnections(fd, now);
+    } else if (m_streams.owns(fd)) {
+        m_streams.onReady(fd, event.events, now);
+    }
 }
 
 void PeerTransport::Private::sendQueued()
 {
     SendPeerAction message;
     while (m_ring.tryPop(message)) {
-        const auto now = MonotonicClock::now();
-        const auto fault = faultOf(message.vm);
-        if (fault.drop) {
-            m_metrics.counter("galenarock_peer_dropped_total", "reason=\"link-fault\"").add();
-        } else if (fault.delay > Duration::zero()) {
-            m_delayed.emplace(now + fault.delay, message);
-        } else {
-            sendNow(message, now);
-        }
+        runGuarded("message to another daemon", [&] { sendOrDelay(message, MonotonicClock::now()); });
         m_queuedMessages.fetch_sub(1);
     }
 }
 
+void PeerTransport::Private::sendOrDelay(const SendPeerAction &message, Instant now)
+{
+    const auto fault = faultOf(message.vm);
+    if (fault.drop) {
+        m_metrics.counter("galenarock_peer_dropped_total", "reason=\"link-fault\"").add();
+    } else if (fault.delay > Duration::zero()) {
+        m_delayed.emplace(now + fault.delay, message);
+    } else {
+        sendNow(message, now);
+    }
+}
+
 void PeerTransport::Private::sendDelayed(Instant now)
 {
     while (!m_delayed.empty() && m_delayed.begin()->first <= now) {
--- a/src/proxy/requesthandler.cpp
+++ b/src/proxy/requesthandler.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 #include "peerauth_p.h"
 
 namespace Galenarock
@@ -160,7 +162,7 @@
         refuse(request, {Reason::MalformedRequest, Outcome::NotRun, "malformed grant request", 0});
         return;
     }
-    exchange.respond(200, {{"Content-Type", "application/json"}}, reply.dump());
+    exchange.respond(200, {{"Content-Type", "application/json"}}, jsonText(reply));
     finish(request);
 }
 
--- a/src/replay/serialize_p.h
+++ b/src/replay/serialize_p.h
@@ -9,6 +9,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/replay.h>
 
 /// cereal encoding of the trace records. A change of the encoding needs a new traceFormatVersion.
@@ -57,11 +58,6 @@
     archive(it.kind, it.name);
 }
 
-inline std::string jsonText(const nlohmann::json &json)
-{
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 template<class Archive> void save(Archive &archive, const StoredObject &it)
 {
     archive(it.key, it.version, it.writer, jsonText(it.value));
--- a/src/requests/reasons.cpp
+++ b/src/requests/reasons.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/requests.h>
 
 namespace Galenarock
@@ -113,7 +114,7 @@
     nlohmann::json json{{"outcome", toString(refusal.outcome)}, {"reason", reasonInfo(refusal.reason).code}};
     json["detail"] = refusal.detail.empty() ? std::string(reasonInfo(refusal.reason).message) : refusal.detail;
     json["untilMs"] = refusal.untilMs;
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return jsonText(json);
 }
 
 }
--- a/src/standin/backendcontrol.cpp
+++ b/src/standin/backendcontrol.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <functional>
 
+#include <galenarock/jsontext.h>
+
 #include "backendserver_p.h"
 #include "events_p.h"
 
@@ -126,7 +128,7 @@
             continue;
         }
         if (!it->second(value, changed)) {
-            findings.push_back({ErrorCode::OutOfRange, "/" + name, "value is not allowed: " + value.dump()});
+            findings.push_back({ErrorCode::OutOfRange, "/" + name, "value is not allowed: " + jsonText(value)});
         }
     }
     if (!findings.empty()) {
--- a/src/standin/backendprocess.cpp
+++ b/src/standin/backendprocess.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock::Standin
 {
 
@@ -66,7 +68,7 @@
     auto json = nlohmann::json::parse(exchange->body, nullptr, false);
     std::string name;
     if (json.is_object() && json.contains("server")) {
-        name = json["server"].is_string() ? json["server"].get<std::string>() : json["server"].dump();
+        name = json["server"].is_string() ? json["server"].get<std::string>() : jsonText(json["server"]);
         json.erase("server");
     }
     std::size_t n = 0;
--- a/src/standin/backendresponses.cpp
+++ b/src/standin/backendresponses.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 #include "backendserver_p.h"
 #include "testdirective_p.h"
 
@@ -27,7 +29,7 @@
 {
     const auto line = [&echo](std::size_t total) {
         echo["size"] = fmt::format("{:012}", total); // fixed width: the line's length must not depend on it
-        return echo.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+        return jsonText(echo) + "\n";
     };
     const auto total = std::max(size, line(0).size());
     auto body = line(total);
--- a/src/standin/httpserver.cpp
+++ b/src/standin/httpserver.cpp
@@ -11,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <galenarock/jsontext.h>
+
 #include "events_p.h"
 
 namespace Galenarock::Standin
@@ -79,7 +81,7 @@
     HttpResponse response;
     response.status = status;
     response.headers.emplace_back("Content-Type", "application/json");
-    response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = jsonText(json);
     return response;
 }
 
--- a/src/standin/journal.cpp
+++ b/src/standin/journal.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include <galenarock/jsontext.h>
+
 #include "events_p.h"
 
 namespace Galenarock::Standin
@@ -105,7 +107,7 @@
     if (!server.empty() && entry.server != server) {
         return {};
     }
-    return toJson(entry).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    return jsonText(toJson(entry)) + "\n";
 }
 
 HttpResponse Journal::response(const std::string &server) const
@@ -125,7 +127,7 @@
         }
         if (next == end && !isEnded) {
             isEnded = true;
-            buffered += nlohmann::json{{"end", true}, {"entries", entries}, {"dropped", m_dropped}}.dump() + "\n";
+            buffered += jsonText(nlohmann::json{{"end", true}, {"entries", entries}, {"dropped", m_dropped}}) + "\n";
         }
         const auto n = buffered.copy(buf, size);
         buffered.erase(0, n);
--- a/src/standin/objectstore.cpp
+++ b/src/standin/objectstore.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 namespace Galenarock::Standin
 {
 
@@ -63,7 +65,7 @@
     ObjectWriteResult result;
     const auto it = m_objects.find(write.key);
     const auto *current = it == m_objects.end() ? nullptr : &it->second.back();
-    if (write.value.dump().size() > maxValueBytes) {
+    if (jsonText(write.value).size() > maxValueBytes) {
         result.status = ObjectWriteResult::Status::TooLarge;
         return result;
     }
--- a/src/standin/platformcontrol.cpp
+++ b/src/standin/platformcontrol.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <galenarock/jsontext.h>
+
 #include "events_p.h"
 #include "platformserver_p.h"
 
@@ -71,7 +73,7 @@
         exchange->respond(malformed(toString(findings)));
         return;
     }
-    logEvent(Events::FaultsChanged, "{}", toJson(m_faults).dump());
+    logEvent(Events::FaultsChanged, "{}", jsonText(toJson(m_faults)));
     endWatches();
     if (m_faults.outage != PlatformOutage::Hangs) {
         for (const auto &it : m_hanging) {
--- a/src/standin/platformfaults.cpp
+++ b/src/standin/platformfaults.cpp
@@ -2,6 +2,8 @@
 #include <array>
 #include <functional>
 
+#include <galenarock/jsontext.h>
+
 #include "platformserver_p.h"
 
 namespace Galenarock::Standin
@@ -135,7 +137,7 @@
             continue;
         }
         if (!it->second(value, changed)) {
-            findings.push_back({ErrorCode::OutOfRange, "/" + name, "value is not allowed: " + value.dump()});
+            findings.push_back({ErrorCode::OutOfRange, "/" + name, "value is not allowed: " + jsonText(value)});
         }
     }
     if (findings.empty()) {
--- a/tools/galenarock-load.cpp
+++ b/tools/galenarock-load.cpp
@@ -5,6 +5,8 @@
 #include <standin/loadprogram_p.h>
 #include <standin/programoptions_p.h>
 
+#include <galenarock/jsontext.h>
+
 using namespace Galenarock;
 using namespace Galenarock::Standin;
 
@@ -121,7 +123,7 @@
     }
     fmt::print("{}", report->text);
     if (file.is_open()) {
-        file << report->json.dump(2) << "\n";
+        file << jsonText(report->json, 2) << "\n";
     }
     return report->exitCode;
 }
--- a/tools/galenarock-replay.cpp
+++ b/tools/galenarock-replay.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <galenarock/jsontext.h>
 #include <galenarock/replay.h>
 
 using namespace Galenarock;
@@ -82,7 +83,7 @@
     }
     const auto report = checkTraces(traces, arguments.options);
     if (arguments.json) {
-        fmt::print("{}\n", toJson(report, findings).dump(2));
+        fmt::print("{}\n", jsonText(toJson(report, findings), 2));
     } else {
         printText(report, findings);
     }
--- a/tools/galenarockctl.cpp
+++ b/tools/galenarockctl.cpp
@@ -3,6 +3,8 @@
 #include <curl/curl.h>
 #include <fmt/format.h>
 
+#include <galenarock/jsontext.h>
+
 using namespace Galenarock;
 
 namespace
@@ -13,7 +15,7 @@
     const bool isResult = result.status == Ctl::ExitStatus::Done
         || (result.status == Ctl::ExitStatus::Failed && !result.json.contains("error"));
     if (asJson) {
-        fmt::print("{}\n", result.json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace));
+        fmt::print("{}\n", jsonText(result.json, 2));
         return;
     }
     fmt::print(isResult ? stdout : stderr, "{}", result.text);
