Do not offer a refused proof of release again

A Handover that is good text but wrong is passed on, the new holder refuses the grant with it, and gets the same grant again. After two refusals a sound server counts as unresponsive, and the range waits for the end of a grant that may be in force.

Cause: the proof stayed with the range until a grant was accepted.

Change: a refused grant drops the proof. Without it the keys are only slow for a while.

Evidence: LeasesTest.RefusedProofIsNotOfferedAgain (servers refuse every proof): before the change keys are unserved after 2 s; now each range is refused once at most and all are served. ReleaseWithASpoiledReplyIsAskedForAgain shows that the second reply to a release is believed.

--- a/src/leases/leasecalls.cpp
+++ b/src/leases/leasecalls.cpp
@@ -428,6 +428,7 @@
     case LeaseCallStatus::Refused:
         if (event.connection != 0) { // otherwise the check of the connection was refused, and no grant was sent
             countAsUnanswered(slice, event);
+            slice.releaseProof.clear(); // the proof may be what the server refuses
         }
         break;
     case LeaseCallStatus::NotSent:
--- a/src/leases/tests/leasesimulation.cpp
+++ b/src/leases/tests/leasesimulation.cpp
@@ -512,8 +512,15 @@
     }
     if (call.command == LeaseCommand::Release) {
         state->server.release(call);
-        reply.status = LeaseCallStatus::Accepted;
-        reply.releaseProof = "proof";
+        const bool isSpoiled = spoiledReleases > 0;
+        spoiledReleases -= isSpoiled ? 1 : 0;
+        reply.status = isSpoiled ? LeaseCallStatus::Unknown : LeaseCallStatus::Accepted;
+        reply.releaseProof = isSpoiled ? "" : "proof";
+        return;
+    }
+    if (refusesProofs && !call.releaseProof.empty()) {
+        ++refusedProofs;
+        reply.status = LeaseCallStatus::Refused;
         return;
     }
     reply.status = state->server.grant(arrivedAt, now, call);
--- a/src/leases/tests/leasesimulation_p.h
+++ b/src/leases/tests/leasesimulation_p.h
@@ -139,6 +139,11 @@
     /// Share of accepted grants for which the leader gets the refusal of an earlier grant as the reply.
     double falseRefusalShare = 0;
     LeaseCallStatus falseRefusal = LeaseCallStatus::Outdated;
+    /// So many releases from now on take effect, and their replies are spoiled.
+    int spoiledReleases = 0;
+    /// Servers refuse all grants that carry a proof of release; how many they have refused.
+    bool refusesProofs = false;
+    std::size_t refusedProofs = 0;
     double lostPeerMessageShare = 0;
     /// Share of lease calls for which the connection to the server is opened anew.
     double reconnectShare = 0;
--- a/src/leases/tests/leasestest.cpp
+++ b/src/leases/tests/leasestest.cpp
@@ -343,6 +343,41 @@
     }
 }
 
+// review/7. Guards against a move that ends with the first spoiled reply to a release, and against keys that wait for
+// the end of the grant although the server answers.
+TEST(LeasesTest, ReleaseWithASpoiledReplyIsAskedForAgain)
+{
+    const auto simulation = stableSimulation();
+    const auto proofs = simulation->refusedProofs;
+    simulation->spoiledReleases = 1;
+    simulation->refusesProofs = true;
+    simulation->setLeaving(0);
+    simulation->run(seconds(2));
+    EXPECT_EQ(simulation->spoiledReleases, 0);
+    EXPECT_GT(simulation->refusedProofs, proofs) << "the second reply is believed";
+    EXPECT_EQ(simulation->violation, "");
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+}
+
+// Guards against a proof that the new holder refuses and that is offered to it again and again, until it counts as
+// unresponsive and its other keys move too: without the proof the keys are only slow for a while.
+TEST(LeasesTest, RefusedProofIsNotOfferedAgain)
+{
+    const auto simulation = stableSimulation();
+    std::size_t moves = 0;
+    simulation->refusesProofs = true;
+    simulation->setLeaving(0);
+    for (int n = 0; n < 40; ++n) {
+        simulation->run(milliseconds(50));
+        moves = std::max(moves, simulation->refusedProofs);
+    }
+    const auto ranges = simulation->table().slices.size();
+    EXPECT_GT(moves, 0U);
+    EXPECT_LE(moves, ranges) << "each range at most once";
+    EXPECT_EQ(simulation->violation, "");
+    EXPECT_EQ(simulation->servedPositions(), positionCount(*simulation));
+}
+
 // Guards against a check of a new connection that takes keys away from the server, and against a grant without one.
 TEST(LeasesTest, GrantsNameARangeThatTheirServerDoesNotHold)
 {
