Share the status message of watchers, and end writes that cannot be handled

A verifier's statement had the shape of a watcher's status, with a codec of its own. A write whose response could not be handled ended without an outcome for its writer, and a call that could not be started during an outage would have counted as the probe under way.

Change: WatchVerification uses WatchStatus, whose revisions are those of last changes in both messages now. A write ends as Unknown, a failed start frees the probe.

--- a/include/galenarock/storeclient.h
+++ b/include/galenarock/storeclient.h
@@ -161,10 +161,11 @@
     bool isWatcher = false;
     /// Until then others pass changes on to this daemon, which makes no watch calls of its own while it keeps up.
     Instant fedUntil{};
-    /// Revisions by kind that another daemon is known to have.
+    /// Revisions of the last changes by kind that another daemon is known to have.
     std::map<std::string, std::uint64_t> newest;
     /// Kinds of this daemon that those who feed it do not watch: it makes its own watch calls for them.
     std::set<std::string> unfedKinds = {};
+    /// What verifiers have stated, by kind.
     std::map<std::string, VerifiedKind> verified = {};
 
     friend bool operator==(const WatchFeedView &a, const WatchFeedView &b)
@@ -196,7 +197,7 @@
     std::string team = "galenarock";
     Duration connectTimeout = seconds(1);
     Duration callTimeout = seconds(3);
-    /// A first call that lists a watched kind; after one without an answer `callTimeout` holds.
+    /// For a page of the list of a watched kind; after one without an answer `callTimeout` holds.
     Duration listTimeout = seconds(1);
     /// The timer finds lost watches only where the dialect has heartbeats, which tell them from an outage.
     WatchTimerSettings watchTimer;
--- a/include/galenarock/watchfeed.h
+++ b/include/galenarock/watchfeed.h
@@ -46,14 +46,14 @@
     std::size_t longestChangeBytes = 32'768;
 };
 
-/// What a watcher knows.
+/// What a watcher, or a verifier, knows.
 struct WatchStatus
 {
     /// Era of the store; 0 for a store without eras.
     std::uint64_t era = 0;
     /// The watcher's last call to the store was answered.
     bool isStoreReachable = true;
-    /// Highest revision by kind that this watcher, or another one that it heard, has.
+    /// Revision of the last change by kind that this watcher, or another one that it heard, has.
     std::map<std::string, std::uint64_t> revisions;
 
     friend bool operator==(const WatchStatus &a, const WatchStatus &b)
@@ -140,7 +140,7 @@
     /// Other watchers, which exchange statuses: one that is cut from the store learns that it is behind.
     std::vector<std::string> m_otherWatchers;
     std::uint64_t m_era = 0;
-    /// Highest revisions of any watcher in this era.
+    /// Last changes that any watcher in this era has.
     std::map<std::string, std::uint64_t> m_newest;
     Instant m_heardUntil{};
     /// Of each kind that a watcher has stated. Only a part of the fleet may watch a kind.
--- a/include/galenarock/watchverification.h
+++ b/include/galenarock/watchverification.h
@@ -8,6 +8,7 @@
 
 #include <galenarock/control.h>
 #include <galenarock/storeclient.h>
+#include <galenarock/watchfeed.h>
 
 /// A few daemons, the verifiers, prove to the others that their long watches are still alive.
 ///
@@ -20,7 +21,7 @@
 
 namespace WatchMessage
 {
-/// A VerifiedRevisions message. Not in use by any earlier build, each of which ignores it.
+/// To those who watch: the WatchStatus of a verifier. Not in use by any earlier build, each of which ignores it.
 inline constexpr std::uint16_t Verified = PeerMessageRange::Ownership + 26;
 static_assert(Verified < PeerMessageRange::Requests);
 }
@@ -37,27 +38,6 @@
     Duration startTime = seconds(7);
 };
 
-/// What a verifier knows.
-struct VerifiedRevisions
-{
-    /// Era of the store; 0 for a store without eras.
-    std::uint64_t era = 0;
-    /// The verifier's last call to the store was answered.
-    bool isStoreReachable = true;
-    /// Revision of the last change by kind, of the kinds that the verifier watches.
-    std::map<std::string, std::uint64_t> changes;
-
-    friend bool operator==(const VerifiedRevisions &a, const VerifiedRevisions &b)
-    {
-        return a.era == b.era && a.isStoreReachable == b.isStoreReachable && a.changes == b.changes;
-    }
-};
-
-/// cereal portable binary.
-std::string encode(const VerifiedRevisions &statement);
-/// Fails with MalformedMessage.
-Result<VerifiedRevisions> decodeVerifiedRevisions(const std::string &payload);
-
 /// Decides who verifies, what a verifier states, and what its statements mean for this daemon's watches. Pure core.
 class WatchVerification
 {
@@ -77,7 +57,7 @@
     void changed(const std::string &kind, std::uint64_t revision);
     /// Statements that are due; none unless this daemon is a verifier.
     ControlActions tick(Instant now, bool isStoreReachable);
-    void receive(Instant now, const VerifiedRevisions &statement);
+    void receive(Instant now, const WatchStatus &statement);
 
     /// What the store client has to know, by kind.
     const std::map<std::string, VerifiedKind> &kinds() const
--- a/src/gateway/planepeers.cpp
+++ b/src/gateway/planepeers.cpp
@@ -84,7 +84,7 @@
                 return {};
             }
             if (event.type == WatchMessage::Verified) {
-                BOOST_LEAF_AUTO(statement, decodeVerifiedRevisions(event.payload));
+                BOOST_LEAF_AUTO(statement, decodeWatchStatus(event.payload));
                 m_verification.receive(now, statement);
                 return {};
             }
--- a/src/gateway/tests/planetest.cpp
+++ b/src/gateway/tests/planetest.cpp
@@ -554,7 +554,7 @@
 TEST(PlaneTest, StatementOfAVerifierReachesTheStoreClient)
 {
     ColdPlane plane(0);
-    plane.receive({{"vm-1", 1}, WatchMessage::Verified, encode(VerifiedRevisions{0, true, {{ServerKind, 7}}})});
+    plane.receive({{"vm-1", 1}, WatchMessage::Verified, encode(WatchStatus{0, true, {{ServerKind, 7}}})});
     const auto verified = plane.feed.verified.find(ServerKind);
     ASSERT_NE(verified, plane.feed.verified.end());
     EXPECT_EQ(verified->second.lastChange, 7U);
--- a/src/objectstore/storeclient.cpp
+++ b/src/objectstore/storeclient.cpp
@@ -60,8 +60,7 @@
 {
     while (!m_stop.load()) {
         const auto now = MonotonicClock::now();
-        runGuarded("requests to the platform", [&] { startRequests(now); });
-        runGuarded("watches of the platform", [&] { startWaitingCalls(now); });
+        startCalls(now);
         int running = 0;
         curl_multi_perform(m_multi, &running);
         finishCalls();
@@ -69,6 +68,16 @@
     }
 }
 
+/// A call that could not be started is not a probe under way.
+void StoreClient::Private::startCalls(Instant now)
+{
+    const bool areRequestsStarted = runGuarded("requests to the platform", [&] { startRequests(now); });
+    const bool areWatchesStarted = runGuarded("watches of the platform", [&] { startWaitingCalls(now); });
+    if (!areRequestsStarted || !areWatchesStarted) {
+        m_budget.abandon();
+    }
+}
+
 void StoreClient::Private::startRequests(Instant now)
 {
     m_budget.setDaemonCount(m_daemonCount.load());
@@ -174,12 +183,22 @@
         call.setResult(message->data.result);
         curl_multi_remove_handle(m_multi, easy);
         if (!runGuarded("response of the platform", [&] { finish(call); })) {
-            restartWatch(call);
+            runGuarded("end of a call to the platform", [&] { endUnhandled(call); });
         }
         m_calls.erase(easy);
     }
 }
 
+/// After a response that could not be handled: who waits for the end of the call must not wait for ever.
+void StoreClient::Private::endUnhandled(const HttpCall &call)
+{
+    if (call.kind == CallKind::Write) {
+        m_handler(WriteResultEvent{call.key, call.write.writer, call.sentAt, WriteStatus::Unknown, {}});
+        return;
+    }
+    restartWatch(call);
+}
+
 void StoreClient::Private::finish(HttpCall &call)
 {
     if (call.kind == CallKind::Heartbeat) {
--- a/src/objectstore/storeclient_p.h
+++ b/src/objectstore/storeclient_p.h
@@ -47,6 +47,7 @@
 
 private:
     void run();
+    void startCalls(Instant now);
     void startRequests(Instant now);
     void startWaitingCalls(Instant now);
     void takeRequests(Instant now);
@@ -59,6 +60,7 @@
     void cancel(HttpCall &call);
     void finishCalls();
     void finish(HttpCall &call);
+    void endUnhandled(const HttpCall &call);
     void updateCallMetrics(const HttpCall &call);
 
     // storewatches.cpp
--- a/src/objectstore/tests/storeclienttest.cpp
+++ b/src/objectstore/tests/storeclienttest.cpp
@@ -636,3 +636,16 @@
     fixture.client.setWatch("mandate", true);
     EXPECT_EQ(fixture.write(4).status, WriteStatus::Applied);
 }
+
+// As above for a response that cannot be read: the write may have taken effect.
+TEST(StoreClient, responseThatCannotBeReadEndsItsWrite)
+{
+    Fixture fixture([](const std::string &) { return std::optional(ScriptedServer::response(200, "{\"version\":1}")); },
+                    [](StoreClientSettings &settings) {
+                        settings.dialect.decodeWritten = [](const std::string &) -> Result<std::uint64_t> {
+                            throw std::runtime_error("not expected");
+                        };
+                    });
+    EXPECT_EQ(fixture.write(4).status, WriteStatus::Unknown);
+    EXPECT_EQ(fixture.write(4).status, WriteStatus::Unknown);
+}
--- a/src/objectstore/tests/watchverificationtest.cpp
+++ b/src/objectstore/tests/watchverificationtest.cpp
@@ -107,8 +107,7 @@
     ASSERT_EQ(actions.size(), 2U);
     const auto &message = std::get<SendPeerAction>(actions[0]);
     EXPECT_EQ(message.vm, "vm-0001");
-    EXPECT_EQ(*decodeVerifiedRevisions(message.payload), (VerifiedRevisions{0, false, {{kind, 4}}}));
-    EXPECT_FALSE(decodeVerifiedRevisions(message.payload.substr(0, 5)));
+    EXPECT_EQ(*decodeWatchStatus(message.payload), (WatchStatus{0, false, {{kind, 4}}}));
 }
 
 // Guards against a slow store that is called again and again before it can answer.
@@ -257,7 +256,7 @@
             }
             auto &daemon = m_daemons[static_cast<std::size_t>(std::stoi(it.vm.substr(3)))];
             if (it.type == WatchMessage::Verified) {
-                daemon.verification.receive(at(m_now), *decodeVerifiedRevisions(it.payload));
+                daemon.verification.receive(at(m_now), *decodeWatchStatus(it.payload));
             } else if (it.type == WatchMessage::Status) {
                 daemon.feed.receive(at(m_now), *decodeWatchStatus(it.payload));
             } else {
--- a/src/objectstore/watchverification.cpp
+++ b/src/objectstore/watchverification.cpp
@@ -3,41 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include <cereal/types/string.hpp>
-
-#include "peer/message_p.h"
-
 namespace Galenarock
 {
 
 namespace
 {
-constexpr std::size_t MaxKinds = 16;
-constexpr std::size_t MaxNameBytes = 255;
-
-struct WireKindChange
-{
-    std::string kind;
-    std::uint64_t revision = 0;
-    template<typename Archive> void serialize(Archive &archive)
-    {
-        Wire::text<std::uint8_t>(archive, kind, MaxNameBytes);
-        archive(revision);
-    }
-};
-
-struct WireVerifiedRevisions
-{
-    std::uint64_t era = 0;
-    bool isStoreReachable = true;
-    std::vector<WireKindChange> changes;
-    template<typename Archive> void serialize(Archive &archive)
-    {
-        archive(era, isStoreReachable);
-        Wire::list(archive, changes, MaxKinds);
-    }
-};
-
 /// The names without that of `self`.
 std::vector<std::string> othersOf(const std::vector<std::string> &names, const Identity &self)
 {
@@ -60,25 +30,6 @@
 }
 }
 
-std::string encode(const VerifiedRevisions &statement)
-{
-    WireVerifiedRevisions wire{statement.era, statement.isStoreReachable, {}};
-    for (const auto &[kind, revision] : statement.changes) {
-        wire.changes.push_back({kind, revision});
-    }
-    return encodeMessage(wire);
-}
-
-Result<VerifiedRevisions> decodeVerifiedRevisions(const std::string &payload)
-{
-    BOOST_LEAF_AUTO(wire, decodeMessage<WireVerifiedRevisions>(payload));
-    VerifiedRevisions statement{wire.era, wire.isStoreReachable, {}};
-    for (const auto &it : wire.changes) {
-        statement.changes[it.kind] = it.revision;
-    }
-    return statement;
-}
-
 WatchVerification::WatchVerification(Identity self, WatchVerificationSettings settings)
     : m_self(std::move(self))
     , m_settings(settings)
@@ -129,9 +80,9 @@
         return actions;
     }
     m_nextStatementAt = now + m_settings.statementInterval;
-    VerifiedRevisions statement{m_era, isStoreReachable, {}};
+    WatchStatus statement{m_era, isStoreReachable, {}};
     for (const auto &it : m_ownKinds) {
-        statement.changes[it] = m_kinds[it].lastChange;
+        statement.revisions[it] = m_kinds[it].lastChange;
     }
     const auto payload = encode(statement);
     const bool isStarting = now - m_verifierSince < m_settings.startTime;
@@ -141,12 +92,12 @@
     return actions;
 }
 
-void WatchVerification::receive(Instant now, const VerifiedRevisions &statement)
+void WatchVerification::receive(Instant now, const WatchStatus &statement)
 {
     if (statement.era != m_era) {
         return; // one of the two has not read the store since it was restored
     }
-    for (const auto &[kind, revision] : statement.changes) {
+    for (const auto &[kind, revision] : statement.revisions) {
         auto &verified = m_kinds[kind];
         verified.lastChange = std::max(verified.lastChange, revision);
         if (statement.isStoreReachable && !m_isVerifier) {
